Lay the workspace and the borders between modules

Cause: nothing stood yet, and four areas are to be built side by side. Ruled out: letting each area invent its own types first (their borders would not meet), and one crate for all (the demo embeds the stand-ins and the bench needs the library, which would be a cycle of packages). Conclusion: the areas can be built behind these traits.

--- /dev/null
+++ b/src/config/mod.rs
@@ -0,0 +1,3 @@
+//! The operators' configuration: resources, their validation and their spread.
+
+pub mod resource;
--- /dev/null
+++ b/src/event/catalogue.rs
@@ -0,0 +1,72 @@
+//! The catalogue of events.
+
+use slog::Level;
+
+macro_rules! catalogue {
+    ($($number:literal $event:ident $level:ident $text:literal;)*) => {
+        key! {
+            /// A numbered event; its text is the documentation.
+            pub enum Event {
+                $(
+                    #[doc = $text]
+                    $event,
+                )*
+            }
+        }
+
+        impl Event {
+            /// Every event, by number.
+            pub const ALL: &[Event] = &[$(Event::$event),*];
+
+            /// The number, fixed for ever.
+            pub fn number(self) -> u16 {
+                match self { $(Event::$event => $number),* }
+            }
+
+            /// The level it is logged at.
+            pub fn level(self) -> Level {
+                match self { $(Event::$event => Level::$level),* }
+            }
+
+            /// The fixed text.
+            pub fn text(self) -> &'static str {
+                match self { $(Event::$event => $text),* }
+            }
+        }
+    };
+}
+
+catalogue! {
+    101 Started Info "process started";
+    102 Stopping Info "planned stop begun";
+    103 Stopped Info "process stopped";
+    104 Listening Info "listening";
+    105 TaskFailed Error "a task failed and was restarted";
+    106 SpanEnded Debug "span ended";
+
+    301 PlatformLost Warning "the platform's service can't be reached";
+    302 PlatformBack Info "the platform's service answers again";
+
+    401 ContactLost Warning "out of contact, keyed work is refused";
+    402 ContactBack Info "in contact again";
+    403 ConfigurationAdopted Info "configuration adopted";
+    404 MemberJoined Info "member joined";
+    405 MemberLost Warning "member lost";
+
+    501 RequestFailed Info "request answered with an error";
+    502 UpstreamDied Warning "an upstream died with requests in flight";
+    503 RequestQuarantined Warning "a request is quarantined";
+
+    601 SharesMoved Info "share table adopted";
+
+    701 SegmentFenced Warning "a segment's old epoch was refused";
+    702 JobAccepted Info "job accepted";
+    703 JobCancelled Info "job cancelled";
+    704 ReplicaReplaced Info "segment replica replaced";
+
+    801 OrderSent Info "order sent to an upstream";
+    802 OrderRefused Warning "an upstream refused an order";
+
+    901 PeerRefused Warning "a peer failed to prove itself";
+    902 PeerLost Info "connection to a peer lost";
+}
--- /dev/null
+++ b/src/lib.rs
@@ -0,0 +1,23 @@
+//! parsleybeam serves online and batch inference from one fleet.
+//!
+//! Decisions (admission, routing, retry, shares, segments, membership) are
+//! plain state machines that take `now` and an event and return actions. The
+//! daemons, the scenarios and the random runs drive the same code.
+
+#[macro_use]
+pub mod derive;
+
+pub mod admission;
+pub mod claim;
+pub mod clock;
+pub mod config;
+pub mod context;
+pub mod error;
+pub mod event;
+pub mod id;
+pub mod log;
+pub mod platform;
+pub mod settings;
+pub mod upstream;
+pub mod view;
+pub mod wire;
--- /dev/null
+++ b/src/settings/file.rs
@@ -0,0 +1,59 @@
+//! Reading a settings file.
+
+use std::path::Path;
+
+use serde::de::DeserializeOwned;
+
+use crate::error::{Error, Kind, Result};
+
+/// Rules that types alone can't express.
+pub trait Check {
+    /// Names the first field that breaks a rule, and why.
+    fn check(&self) -> std::result::Result<(), (&'static str, String)>;
+}
+
+/// Reads and checks a settings file.
+pub fn load<S>(path: &Path) -> Result<S>
+where
+    S: DeserializeOwned + Check,
+{
+    let name = path.display().to_string();
+    let text = std::fs::read_to_string(path)
+        .map_err(|error| Error::new(Kind::Settings, format!("{name}: can't be read: {error}")))?;
+    parse(&name, &text)
+}
+
+/// Parses and checks settings; `name` stands for the file in messages.
+pub fn parse<S>(name: &str, text: &str) -> Result<S>
+where
+    S: DeserializeOwned + Check,
+{
+    let value = jsonc_parser::parse_to_serde_value(text, &Default::default())
+        .map_err(|error| mistake(name, "", &error.to_string()))?
+        .unwrap_or(serde_json::Value::Null);
+    let settings: S = serde_path_to_error::deserialize(value).map_err(|error| {
+        let field = error.path().to_string();
+        mistake(name, &field, &error.into_inner().to_string())
+    })?;
+    settings.check().map_err(|(field, reason)| mistake(name, field, &reason))?;
+    Ok(settings)
+}
+
+pub(super) fn check_secret(
+    secret: &str,
+    least: usize,
+) -> std::result::Result<(), (&'static str, String)> {
+    if secret.len() < least {
+        return Err(("fleet_secret", format!("must have at least {least} bytes")));
+    }
+    Ok(())
+}
+
+fn mistake(name: &str, field: &str, reason: &str) -> Error {
+    let reason = reason.replace('\n', " ");
+    let detail = match field {
+        "" | "." => format!("{name}: {reason}"),
+        field => format!("{name}: {field}: {reason}"),
+    };
+    Error::new(Kind::Settings, detail)
+}
--- /dev/null
+++ b/src/upstream/mod.rs
@@ -0,0 +1,75 @@
+//! Calling upstreams and giving them orders.
+//!
+//! A `Call` is what an upstream sees: the caller's key is never part of it.
+
+use bytes::Bytes;
+use futures_util::future::LocalBoxFuture;
+use tokio::sync::mpsc;
+
+use crate::clock::Time;
+use crate::error::Error;
+use crate::id;
+
+/// A request as an upstream sees it.
+#[derive(Clone, Debug)]
+pub struct Call {
+    /// Identifier that the answer must carry back.
+    pub request: String,
+    /// Path at the upstream.
+    pub path: String,
+    /// Media type of the body.
+    pub content_type: String,
+    /// The body.
+    pub body: Bytes,
+    /// When the caller stops waiting.
+    pub deadline: Time,
+    /// W3C trace context to pass on.
+    pub traceparent: Option<String>,
+    /// Tokens that the caller already has, for a resumed stream.
+    pub resume_from: u32,
+}
+
+/// What an upstream's answer brings, in order.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Part {
+    /// Status and media type; always first.
+    Head {
+        /// HTTP status.
+        status: u16,
+        /// Media type of the body.
+        content_type: String,
+    },
+    /// A piece of the body; for event streams, one whole event.
+    Data(Bytes),
+    /// The answer is whole.
+    End,
+}
+
+/// Whether the upstream can have started a failed call.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Failure {
+    /// No byte of the request was sent.
+    NotSent(Error),
+    /// The request was sent; the upstream may have run it.
+    Sent(Error),
+}
+
+/// A running call; dropping it cancels the call at the upstream.
+pub type Parts = mpsc::Receiver<Result<Part, Failure>>;
+
+/// Sends calls to upstreams.
+pub trait Client {
+    /// Sends one call to one upstream, once.
+    fn send(&self, upstream: &crate::view::Upstream, call: Call) -> LocalBoxFuture<'_, Parts>;
+}
+
+/// Room that one upstream has, as this VM knows it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Room {
+    /// Which upstream.
+    pub upstream: id::Upstream,
+    /// Online requests that run there.
+    pub online_running: u32,
+    /// Online requests that wait for it.
+    pub online_waiting: u32,
+}
