Assemble the processes and the command's frame

Cause: the areas need a place to be started from, and the programs need their options, exit codes and pages. Ruled out: one HTTP server for callers and operators (operators' credentials are kept apart from callers' keys, and a busy caller port must not hide the health page). Conclusion: the areas are wired in node/entry.rs and node/store.rs.

--- /dev/null
+++ b/programs/src/command/check.rs
@@ -0,0 +1,30 @@
+//! `parsleybeam check`: reads a settings file as the daemons do.
+
+use std::path::PathBuf;
+
+use gumdrop::Options;
+use parsleybeam::settings::{self, Entry, Store};
+
+use super::Failure;
+
+/// Arguments of `check`.
+#[derive(Debug, Options)]
+pub struct Arguments {
+    #[options(help = "print this help")]
+    help: bool,
+    #[options(free, required, help = "the settings file")]
+    file: PathBuf,
+    #[options(help = "whose settings: entry or store (default entry)", meta = "ROLE")]
+    role: Option<String>,
+}
+
+/// Checks one file.
+pub fn run(arguments: &Arguments) -> Result<(), Failure> {
+    match arguments.role.as_deref().unwrap_or("entry") {
+        "entry" => settings::load::<Entry>(&arguments.file).map(drop)?,
+        "store" => settings::load::<Store>(&arguments.file).map(drop)?,
+        other => return Err(Failure::Input(format!("--role: {other:?} is not entry or store"))),
+    }
+    println!("{}: good", arguments.file.display());
+    Ok(())
+}
--- /dev/null
+++ b/programs/src/command/failure.rs
@@ -0,0 +1,45 @@
+//! How a command fails, and its exit code.
+
+use std::process::ExitCode;
+
+use parsleybeam::error::{Error, Kind};
+
+/// Why a command failed.
+#[derive(Debug, derive_more::Display)]
+pub enum Failure {
+    /// The system refused (exit code 1).
+    #[display("{_0}")]
+    Refused(String),
+    /// The input is wrong (exit code 2).
+    #[display("{_0}")]
+    Input(String),
+    /// The system can't be reached (exit code 3).
+    #[display("{_0}")]
+    Unreachable(String),
+}
+
+impl Failure {
+    /// The process's exit code.
+    pub fn code(&self) -> ExitCode {
+        ExitCode::from(match self {
+            Failure::Refused(_) => 1,
+            Failure::Input(_) => 2,
+            Failure::Unreachable(_) => 3,
+        })
+    }
+}
+
+impl From<Error> for Failure {
+    fn from(error: Error) -> Self {
+        match error.kind {
+            Kind::Settings => Failure::Input(error.detail),
+            _ => Failure::Refused(error.detail),
+        }
+    }
+}
+
+impl From<awc::error::SendRequestError> for Failure {
+    fn from(error: awc::error::SendRequestError) -> Self {
+        Failure::Unreachable(error.to_string())
+    }
+}
--- /dev/null
+++ b/programs/src/command/mod.rs
@@ -0,0 +1,46 @@
+//! The verbs of the operator's command, a file each.
+
+mod check;
+mod failure;
+
+pub use failure::Failure;
+
+use gumdrop::Options;
+
+/// Everything on the command line.
+#[derive(Debug, Options)]
+pub struct Arguments {
+    /// Prints how to use the command.
+    #[options(help = "print this help")]
+    help: bool,
+    /// Prints the version.
+    #[options(help = "print the version", no_short)]
+    version: bool,
+    /// What to do.
+    #[options(command)]
+    command: Option<Command>,
+}
+
+/// The verbs.
+#[derive(Debug, Options)]
+enum Command {
+    /// `check`
+    #[options(help = "check a settings file")]
+    Check(check::Arguments),
+}
+
+/// Does what the command line asks for.
+pub async fn run(arguments: Arguments) -> Result<(), Failure> {
+    if arguments.version {
+        println!("parsleybeam {}", env!("CARGO_PKG_VERSION"));
+        return Ok(());
+    }
+    match arguments.command {
+        Some(Command::Check(arguments)) => check::run(&arguments),
+        None => Err(Failure::Input(format!("name a command\n\n{}", usage()))),
+    }
+}
+
+fn usage() -> String {
+    format!("{}\n\nCommands:\n{}", Arguments::usage(), Arguments::command_list().unwrap_or(""))
+}
--- a/programs/src/entry.rs
+++ b/programs/src/entry.rs
@@ -1,3 +1,21 @@
-//! Placeholder.
+//! The daemon of an entry VM.
 
-fn main() {}
+mod daemon;
+
+use std::process::ExitCode;
+
+use gumdrop::Options;
+use parsleybeam::node::entry;
+use parsleybeam::settings;
+
+fn main() -> ExitCode {
+    let arguments = daemon::Arguments::parse_args_default_or_exit();
+    daemon::run("parsleybeam-entry", async {
+        let settings: settings::Entry = settings::load(&arguments.settings)?;
+        let log = parsleybeam::log::logger(&settings.log);
+        let node = entry::start(settings, log).await?;
+        daemon::until_stopped().await;
+        node.stop().await;
+        Ok(())
+    })
+}
--- /dev/null
+++ b/src/node/entry.rs
@@ -0,0 +1,122 @@
+//! An entry VM.
+//!
+//! The control thread is an arbiter of its own: membership, configuration,
+//! limits and the peer server. Callers and operators are served by the worker
+//! threads of two HTTP servers.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use actix_rt::Arbiter;
+use actix_web::dev::ServerHandle;
+use actix_web::{App, HttpServer};
+use slog::{Logger, o};
+
+use super::{Listener, pages};
+use crate::clock::Monotonic;
+use crate::context::Context;
+use crate::emit;
+use crate::error::{Error, Kind, Result};
+use crate::event::Event;
+use crate::settings;
+use crate::view::Shared;
+use crate::wire::{Areas, Pool};
+
+/// A running entry VM.
+pub struct Node {
+    /// Where callers connect.
+    pub caller: SocketAddr,
+    /// Where operators connect.
+    pub operator: SocketAddr,
+    /// Where peers connect.
+    pub peer: SocketAddr,
+    /// Its surroundings.
+    pub context: Context,
+    control: Arbiter,
+    servers: Vec<ServerHandle>,
+}
+
+/// Starts everything that an entry VM runs.
+pub async fn start(mut settings: settings::Entry, log: Logger) -> Result<Node> {
+    let caller = Listener::bind("caller", settings.caller)?;
+    let operator = Listener::bind("operator", settings.operator)?;
+    let peer = Listener::bind("peer", settings.peer)?;
+    settings.caller = caller.address;
+    settings.operator = operator.address;
+    settings.peer = peer.address;
+    let context = context(&settings, &log);
+    crate::trace::install(&context.log);
+
+    let control = Arbiter::new();
+    start_control(&control, context.clone(), settings.clone(), peer.socket);
+    let servers = vec![
+        serve_callers(&context, &settings, caller.socket)?,
+        pages::serve(&context, operator.socket, |_| {})?,
+    ];
+    emit!(context.log, Event::Started,
+        "caller" => caller.address.to_string(), "operator" => operator.address.to_string(),
+        "peer" => peer.address.to_string());
+    Ok(Node {
+        caller: caller.address,
+        operator: operator.address,
+        peer: peer.address,
+        context,
+        control,
+        servers,
+    })
+}
+
+impl Node {
+    /// A planned stop: finishes what runs, then ends.
+    pub async fn stop(self) {
+        emit!(self.context.log, Event::Stopping);
+        for server in self.servers {
+            server.stop(true).await;
+        }
+        self.control.stop();
+        emit!(self.context.log, Event::Stopped);
+    }
+}
+
+fn context(settings: &settings::Entry, log: &Logger) -> Context {
+    Context {
+        vm: settings.vm.clone(),
+        data_centre: settings.data_centre.clone(),
+        clock: Arc::new(Monotonic::new()),
+        log: log.new(o!("vm" => settings.vm.to_string())),
+        shared: Shared::default(),
+        peers: Pool::new(settings.vm.clone(), settings.fleet_secret.clone()),
+    }
+}
+
+fn start_control(
+    control: &Arbiter,
+    context: Context,
+    settings: settings::Entry,
+    peer: std::net::TcpListener,
+) {
+    control.spawn_fn(move || {
+        let areas = Areas::default();
+        actix_rt::spawn(super::peers::serve(context, settings.fleet_secret, areas, peer));
+    });
+}
+
+fn serve_callers(
+    _context: &Context,
+    settings: &settings::Entry,
+    socket: std::net::TcpListener,
+) -> Result<ServerHandle> {
+    let server = HttpServer::new(App::new)
+        .workers(settings.threads)
+        .disable_signals()
+        .listen(socket)
+        .map_err(fault)?
+        .run();
+    let handle = server.handle();
+    actix_rt::spawn(server);
+    Ok(handle)
+}
+
+fn fault(error: std::io::Error) -> Error {
+    Error::new(Kind::Internal, error.to_string())
+}
--- /dev/null
+++ b/src/node/pages.rs
@@ -0,0 +1,95 @@
+//! Health and metrics pages.
+
+use std::net::TcpListener;
+use std::sync::OnceLock;
+
+use actix_web::dev::ServerHandle;
+use actix_web::{App, HttpResponse, HttpServer, web};
+use metrics_exporter_prometheus::{PrometheusBuilder, PrometheusHandle};
+
+use crate::context::Context;
+use crate::error::{Error, Kind, Result};
+
+/// What the readiness page reports on.
+#[derive(Clone)]
+pub struct Readiness {
+    context: Context,
+}
+
+impl Readiness {
+    /// Reports on the process that `context` belongs to.
+    pub fn new(context: Context) -> Self {
+        Self { context }
+    }
+
+    fn lack(&self) -> Option<&'static str> {
+        let view = self.context.shared.load();
+        if !view.members.contains_key(&self.context.vm) {
+            return Some("not a member yet");
+        }
+        if !self.context.shared.contact.holds(self.context.clock.now()) {
+            return Some("out of contact");
+        }
+        None
+    }
+}
+
+/// Installs the process's metrics recorder; later calls return the same one.
+pub fn install_metrics() -> PrometheusHandle {
+    static HANDLE: OnceLock<PrometheusHandle> = OnceLock::new();
+    let install = || {
+        let recorder = PrometheusBuilder::new().build_recorder();
+        let handle = recorder.handle();
+        let _ = metrics::set_global_recorder(recorder);
+        handle
+    };
+    HANDLE.get_or_init(install).clone()
+}
+
+/// Serves the operators' listener: the pages, and what `more` adds.
+pub(super) fn serve<F>(context: &Context, socket: TcpListener, more: F) -> Result<ServerHandle>
+where
+    F: Fn(&mut web::ServiceConfig) + Send + Clone + 'static,
+{
+    let readiness = web::Data::new(Readiness::new(context.clone()));
+    let metrics = web::Data::new(install_metrics());
+    let server = HttpServer::new(move || {
+        App::new()
+            .app_data(readiness.clone())
+            .app_data(metrics.clone())
+            .configure(configure)
+            .configure(more.clone())
+    })
+    .workers(1)
+    .disable_signals()
+    .listen(socket)
+    .map_err(|error| Error::new(Kind::Internal, error.to_string()))?
+    .run();
+    let handle = server.handle();
+    actix_rt::spawn(server);
+    Ok(handle)
+}
+
+/// Adds `/healthz`, `/readyz` and `/metrics`; takes `Readiness` and
+/// `PrometheusHandle` from the application's data.
+fn configure(config: &mut web::ServiceConfig) {
+    config
+        .route("/healthz", web::get().to(health))
+        .route("/readyz", web::get().to(ready))
+        .route("/metrics", web::get().to(metrics_text));
+}
+
+async fn health() -> HttpResponse {
+    HttpResponse::Ok().body("ok\n")
+}
+
+async fn ready(readiness: web::Data<Readiness>) -> HttpResponse {
+    match readiness.lack() {
+        None => HttpResponse::Ok().body("ready\n"),
+        Some(lack) => HttpResponse::ServiceUnavailable().body(format!("{lack}\n")),
+    }
+}
+
+async fn metrics_text(handle: web::Data<PrometheusHandle>) -> HttpResponse {
+    HttpResponse::Ok().content_type("text/plain; version=0.0.4").body(handle.render())
+}
--- /dev/null
+++ b/src/node/peers.rs
@@ -0,0 +1,18 @@
+//! The peer server on the control thread.
+
+use std::net::TcpListener;
+use std::rc::Rc;
+
+use crate::context::Context;
+use crate::emit;
+use crate::event::Event;
+use crate::wire::{Areas, Server};
+
+/// Answers peers until the listener fails.
+pub(super) async fn serve(context: Context, secret: String, areas: Areas, socket: TcpListener) {
+    let server = Server::new(context.vm.clone(), secret, Rc::new(areas), context.log.clone());
+    let listener = tokio::net::TcpListener::from_std(socket).expect("a bound listener");
+    if let Err(error) = server.run(listener).await {
+        emit!(context.log, Event::TaskFailed, "task" => "peers", "reason" => error.detail);
+    }
+}
--- /dev/null
+++ b/src/node/store.rs
@@ -0,0 +1,78 @@
+//! A store VM.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use actix_rt::Arbiter;
+use actix_web::dev::ServerHandle;
+use slog::{Logger, o};
+
+use super::{Listener, pages};
+use crate::clock::Monotonic;
+use crate::context::Context;
+use crate::emit;
+use crate::error::{Error, Kind, Result};
+use crate::event::Event;
+use crate::settings;
+use crate::view::Shared;
+use crate::wire::{Areas, Pool};
+
+/// A running store VM.
+pub struct Node {
+    /// Where the health and metrics pages are.
+    pub operator: SocketAddr,
+    /// Where peers connect.
+    pub peer: SocketAddr,
+    /// Its surroundings.
+    pub context: Context,
+    control: Arbiter,
+    pages: ServerHandle,
+}
+
+/// Starts everything that a store VM runs.
+pub async fn start(mut settings: settings::Store, log: Logger) -> Result<Node> {
+    if !settings.data.is_dir() {
+        let detail = format!("data: {} is not a folder", settings.data.display());
+        return Err(Error::new(Kind::Settings, detail));
+    }
+    let operator = Listener::bind("operator", settings.operator)?;
+    let peer = Listener::bind("peer", settings.peer)?;
+    settings.operator = operator.address;
+    settings.peer = peer.address;
+    let context = Context {
+        vm: settings.vm.clone(),
+        data_centre: settings.data_centre.clone(),
+        clock: Arc::new(Monotonic::new()),
+        log: log.new(o!("vm" => settings.vm.to_string())),
+        shared: Shared::default(),
+        peers: Pool::new(settings.vm.clone(), settings.fleet_secret.clone()),
+    };
+    let control = Arbiter::new();
+    start_control(&control, context.clone(), settings, peer.socket);
+    let pages = pages::serve(&context, operator.socket, |_| {})?;
+    emit!(context.log, Event::Started,
+        "operator" => operator.address.to_string(), "peer" => peer.address.to_string());
+    Ok(Node { operator: operator.address, peer: peer.address, context, control, pages })
+}
+
+impl Node {
+    /// A planned stop.
+    pub async fn stop(self) {
+        emit!(self.context.log, Event::Stopping);
+        self.pages.stop(true).await;
+        self.control.stop();
+        emit!(self.context.log, Event::Stopped);
+    }
+}
+
+fn start_control(
+    control: &Arbiter,
+    context: Context,
+    settings: settings::Store,
+    peer: std::net::TcpListener,
+) {
+    control.spawn_fn(move || {
+        let areas = Areas::default();
+        actix_rt::spawn(super::peers::serve(context, settings.fleet_secret, areas, peer));
+    });
+}
