--- a/programs/src/command/check.rs
+++ b/programs/src/command/check.rs
@@ -7,7 +7,7 @@
 
 use super::Failure;
 
-/// Arguments of `check`.
+/// Reads a settings file as the daemons do and says what is wrong with it.
 #[derive(Debug, Options)]
 pub struct Arguments {
     #[options(help = "print this help")]
--- a/programs/src/command/mod.rs
+++ b/programs/src/command/mod.rs
@@ -7,7 +7,7 @@
 
 use gumdrop::Options;
 
-/// Everything on the command line.
+/// Operates a parsleybeam fleet.
 #[derive(Debug, Options)]
 pub struct Arguments {
     /// Prints how to use the command.
@@ -37,10 +37,6 @@
     }
     match arguments.command {
         Some(Command::Check(arguments)) => check::run(&arguments),
-        None => Err(Failure::Input(format!("name a command\n\n{}", usage()))),
+        None => Err(Failure::Input("name a command; see parsleybeam --help".into())),
     }
 }
-
-fn usage() -> String {
-    format!("{}\n\nCommands:\n{}", Arguments::usage(), Arguments::command_list().unwrap_or(""))
-}
--- a/programs/src/daemon.rs
+++ b/programs/src/daemon.rs
@@ -11,7 +11,7 @@
 /// Exit code for wrong settings.
 const BAD_SETTINGS: u8 = 2;
 
-/// Arguments of a daemon.
+/// Runs one VM of a parsleybeam fleet until SIGTERM, which is a planned stop.
 #[derive(Debug, Options)]
 pub struct Arguments {
     #[options(help = "print this help")]
--- a/programs/src/entry.rs
+++ b/programs/src/entry.rs
@@ -1,15 +1,15 @@
 //! The daemon of an entry VM.
 
+mod arguments;
 mod daemon;
 
 use std::process::ExitCode;
 
-use gumdrop::Options;
 use parsleybeam::node::entry;
 use parsleybeam::settings;
 
 fn main() -> ExitCode {
-    let arguments = daemon::Arguments::parse_args_default_or_exit();
+    let arguments: daemon::Arguments = arguments::read();
     daemon::run("parsleybeam-entry", async {
         let settings: settings::Entry = settings::load(&arguments.settings)?;
         let log = parsleybeam::log::logger(&settings.log);
--- a/programs/src/parsleybeam.rs
+++ b/programs/src/parsleybeam.rs
@@ -1,13 +1,12 @@
 //! The operator's command.
 
+mod arguments;
 mod command;
 
 use std::process::ExitCode;
 
-use gumdrop::Options;
-
 fn main() -> ExitCode {
-    let arguments = command::Arguments::parse_args_default_or_exit();
+    let arguments: command::Arguments = arguments::read();
     match actix_rt::System::new().block_on(command::run(arguments)) {
         Ok(()) => ExitCode::SUCCESS,
         Err(failure) => {
--- a/programs/src/store.rs
+++ b/programs/src/store.rs
@@ -1,15 +1,15 @@
 //! The daemon of a store VM.
 
+mod arguments;
 mod daemon;
 
 use std::process::ExitCode;
 
-use gumdrop::Options;
 use parsleybeam::node::store;
 use parsleybeam::settings;
 
 fn main() -> ExitCode {
-    let arguments = daemon::Arguments::parse_args_default_or_exit();
+    let arguments: daemon::Arguments = arguments::read();
     daemon::run("parsleybeam-store", async {
         let settings: settings::Store = settings::load(&arguments.settings)?;
         let log = parsleybeam::log::logger(&settings.log);
