Add token ledger, fair queue and caller steering

Cause: callers need rates, queues and addresses before the daemons can serve. Ruled out: a bucket that estimates other VMs' use (overspends during a cut); rounding in floating point (creates tokens); a global FIFO (one loud organisation starves the rest, see start_by_arrival_starves_small_ones). Conclusion: Equal is only the baseline; conserved shares replace it.

--- /dev/null
+++ b/src/admission/home.rs
@@ -0,0 +1,44 @@
+//! Home VMs: the few that hold an organisation's rate.
+//!
+//! Two for a small organisation, in different data centres where there are
+//! several, and more with its rate. Every VM computes the same ones from its
+//! view.
+
+use crate::admission::rank;
+use crate::id::{Organisation, Vm};
+use crate::view::{Member, Role, State, View};
+
+/// Fewest home VMs, so that one may fail.
+const MIN_HOMES: usize = 2;
+/// Requests a second that one more home VM is added for.
+const RATE_PER_HOME: f64 = 200.0;
+
+/// Home VMs of an organisation, the first one first.
+pub fn of(view: &View, organisation: &Organisation) -> Vec<Vm> {
+    let Some(spec) = view.organisations.get(organisation) else { return Vec::new() };
+    let entries = view
+        .members
+        .values()
+        .filter(|member| member.role == Role::Entry && member.state == State::Live);
+    choose(organisation, entries, spec.rate)
+}
+
+/// Chooses the home VMs among `entries` for a rate.
+pub fn choose<'a, L>(organisation: &Organisation, entries: L, rate: f64) -> Vec<Vm>
+where
+    L: IntoIterator<Item = &'a Member>,
+{
+    let mut entries: Vec<&Member> = entries.into_iter().collect();
+    entries.sort_by_key(|member| std::cmp::Reverse(rank::score(organisation, &member.vm)));
+    let wanted = ((rate / RATE_PER_HOME).ceil() as usize).max(MIN_HOMES).min(entries.len());
+    let mut homes: Vec<&Member> = Vec::new();
+    while homes.len() < wanted {
+        // Data centres with the fewest homes so far come first.
+        let best = entries.iter().enumerate().min_by_key(|(place, member)| {
+            (homes.iter().filter(|home| home.data_centre == member.data_centre).count(), *place)
+        });
+        let Some((place, _)) = best else { break };
+        homes.push(entries.remove(place));
+    }
+    homes.into_iter().map(|member| member.vm.clone()).collect()
+}
--- a/src/admission/mod.rs
+++ b/src/admission/mod.rs
@@ -1,5 +1,11 @@
 //! Who may run a request now: rates, fair queues and upstream capacity.
 
+pub mod home;
+pub mod queue;
+pub mod rank;
+pub mod refusal;
+pub mod share;
+
 use futures_util::future::LocalBoxFuture;
 
 use crate::clock::Time;
--- /dev/null
+++ b/src/admission/share/equal.rs
@@ -0,0 +1,88 @@
+//! Fixed equal split: every entry member has the same slice, nothing moves.
+//!
+//! The baseline that shares are measured against.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use futures_util::future::{LocalBoxFuture, ready};
+use parking_lot::Mutex;
+
+use super::{Ledger, Shortage, Slice, TOKEN};
+use crate::admission::Gate;
+use crate::admission::refusal;
+use crate::clock::Time;
+use crate::config::resource;
+use crate::context::Context;
+use crate::error::Result;
+use crate::id::Organisation;
+use crate::view::{Role, View};
+
+/// The whole of an organisation's rate and burst.
+pub fn whole(organisation: &resource::Organisation) -> Slice {
+    Slice {
+        rate: (organisation.rate.max(0.0) * TOKEN as f64) as u64,
+        burst: u64::from(organisation.burst) * TOKEN,
+    }
+}
+
+/// Gate of the fixed equal split.
+pub struct Equal {
+    context: Context,
+    state: Mutex<State>,
+}
+
+#[derive(Default)]
+struct State {
+    view: Option<Arc<View>>,
+    ledger: Ledger,
+}
+
+impl Equal {
+    /// Makes the gate.
+    pub fn new(context: Context) -> Self {
+        Self { context, state: Mutex::default() }
+    }
+
+    fn take_now(&self, organisation: &Organisation) -> Result<()> {
+        let now = self.context.clock.now();
+        let mut state = self.state.lock();
+        state.adopt(self.context.shared.load(), self.context.shared.contact.until(), now);
+        state.ledger.take(organisation, now).map_err(|shortage| match shortage {
+            Shortage::Invalid => refusal::out_of_contact(),
+            Shortage::Until(next) => refusal::rate_exceeded(organisation, now, next),
+        })
+    }
+}
+
+impl State {
+    fn adopt(&mut self, view: Arc<View>, valid: Time, now: Time) {
+        self.ledger.extend(valid, now);
+        if self.view.as_ref().is_some_and(|held| Arc::ptr_eq(held, &view)) {
+            return;
+        }
+        self.ledger.set(&split(&view), now);
+        self.view = Some(view);
+    }
+}
+
+fn split(view: &View) -> BTreeMap<Organisation, Slice> {
+    let entries = view.members.values().filter(|member| member.role == Role::Entry).count();
+    let parts = entries.max(1) as u64;
+    let part = |organisation| {
+        let whole = whole(organisation);
+        Slice { rate: whole.rate / parts, burst: whole.burst / parts }
+    };
+    view.organisations.iter().map(|(name, spec)| (name.clone(), part(spec))).collect()
+}
+
+impl Gate for Equal {
+    fn take(&self, organisation: &Organisation) -> LocalBoxFuture<'_, Result<()>> {
+        Box::pin(ready(self.take_now(organisation)))
+    }
+
+    fn give_back(&self, organisation: &Organisation) {
+        let now = self.context.clock.now();
+        self.state.lock().ledger.give_back(organisation, now);
+    }
+}
--- /dev/null
+++ b/src/api/mod.rs
@@ -0,0 +1,3 @@
+//! HTTP interfaces for callers and operators.
+
+pub mod entries;
--- a/src/config/resource.rs
+++ b/src/config/resource.rs
@@ -108,6 +108,7 @@
     }
 
     /// What an upstream serves.
+    #[derive(Eq, PartialOrd, Ord, Hash)]
     #[serde(rename_all = "snake_case")]
     pub enum Serves {
         /// A model engine with this model.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod derive;
 
 pub mod admission;
+pub mod api;
 pub mod claim;
 pub mod clock;
 pub mod config;
--- /dev/null
+++ b/tests/limits_bucket.rs
@@ -0,0 +1,91 @@
+//! Tokens of one organisation on one VM: refill, loans, returns, validity.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use parsleybeam::admission::share::{Bucket, GIVE_BACK, LOAN, Ledger, Shortage, Slice, TOKEN};
+use parsleybeam::clock::Time;
+
+const SLICE: Slice = Slice { rate: 10 * TOKEN, burst: 5 * TOKEN };
+
+fn at(millis: u64) -> Time {
+    Time::from_millis(millis)
+}
+
+fn full() -> Bucket {
+    let mut bucket = Bucket::new(SLICE, at(0));
+    bucket.refill(at(1_000));
+    bucket
+}
+
+fn take_all(bucket: &mut Bucket, now: Time) -> u64 {
+    std::iter::from_fn(|| bucket.take(now).ok()).count() as u64
+}
+
+#[test]
+fn bucket_starts_empty() {
+    assert_eq!(Bucket::new(SLICE, at(0)).take(at(0)), Err(at(100)));
+}
+
+#[test]
+fn bucket_refills_to_burst() {
+    assert_eq!(take_all(&mut full(), at(1_000)), 5);
+}
+
+#[test]
+fn bucket_tells_next_token() {
+    let mut bucket = full();
+    take_all(&mut bucket, at(1_000));
+    let next = bucket.take(at(1_050)).expect_err("half a token");
+    assert!(bucket.take(Time(next.0 - 1)).is_err());
+    assert_eq!(bucket.take(next), Ok(()));
+}
+
+#[test]
+fn bucket_counts_odd_spans_exactly() {
+    let mut bucket = Bucket::new(Slice { rate: 333_333, burst: 1_000 * TOKEN }, at(0));
+    for step in 1..=90_000 {
+        bucket.refill(Time(step * 7_001));
+    }
+    assert_eq!(bucket.balance(), 333_333 * 90_000 * 7_001 / 1_000_000);
+}
+
+#[test]
+fn bucket_keeps_room_of_loans() {
+    let mut bucket = full();
+    assert_eq!(bucket.lend(9, at(1_000), at(2_000)), 5);
+    assert_eq!(take_all(&mut bucket, at(1_999)), 0, "lent tokens may still be spent elsewhere");
+    assert_eq!(take_all(&mut bucket, at(3_000)), 5);
+}
+
+#[test]
+fn bucket_gives_back_in_time_only() {
+    let mut bucket = full();
+    take_all(&mut bucket, at(1_000));
+    bucket.give_back(at(1_000));
+    assert_eq!(bucket.take(at(1_000)), Ok(()));
+    bucket.give_back(at(1_000).after(GIVE_BACK));
+    assert!(bucket.balance() < TOKEN, "the room has been refilled by then");
+}
+
+#[test]
+fn ledger_stops_at_its_deadline() {
+    let mut ledger = Ledger::default();
+    let slices = BTreeMap::from([("harbour".into(), SLICE)]);
+    ledger.set(&slices, at(0));
+    ledger.extend(at(1_000), at(0));
+    assert_eq!(ledger.take(&"harbour".into(), at(999)), Ok(()));
+    assert_eq!(ledger.take(&"harbour".into(), at(1_000)), Err(Shortage::Invalid));
+    assert_eq!(ledger.lend(&"harbour".into(), 1, at(1_000)), 0);
+}
+
+#[test]
+fn ledger_drops_late_loans() {
+    let mut ledger = Ledger::default();
+    ledger.extend(at(60_000), at(0));
+    let late = at(0).after(LOAN);
+    ledger.receive(&"harbour".into(), 3, at(0), late);
+    assert!(ledger.take(&"harbour".into(), late).is_err());
+    ledger.receive(&"harbour".into(), 1, late, late.after(Duration::from_millis(1)));
+    assert_eq!(ledger.take(&"harbour".into(), late.after(Duration::from_millis(2))), Ok(()));
+}
