Add the stand-ins of the outside systems

Cause: nothing can be served or tested without the key-value service, the VM list, the weight store, engines and plain services.

--- /dev/null
+++ b/standins/src/bin/parsleybeam-bench.rs
@@ -0,0 +1,3 @@
+//! Runs experiments and random runs against the stand-ins.
+
+fn main() {}
--- /dev/null
+++ b/standins/src/engine/token.rs
@@ -0,0 +1,35 @@
+//! The tokens of an answer: a function of the prompt and the position.
+
+use std::hash::Hasher;
+
+use siphasher::sip::SipHasher24;
+
+const WORDS: [&str; 16] = [
+    " duct", " hood", " fan", " grease", " filter", " crew", " share", " fuel", " quay", " net",
+    " ledger", " clean", " visit", " note", " kitchen", " skipper",
+];
+
+/// Bytes of a prompt that count as its prefix.
+pub const PREFIX_BYTES: usize = 256;
+
+/// Text of token `position` of the answer to `prompt`.
+pub fn text(prompt: &str, position: u32) -> String {
+    let mut hasher = SipHasher24::new();
+    hasher.write(prompt.as_bytes());
+    hasher.write_u32(position);
+    let hash = hasher.finish();
+    format!("{}{}", WORDS[(hash % WORDS.len() as u64) as usize], hash >> 60)
+}
+
+/// The whole answer to `prompt`.
+pub fn answer(prompt: &str, tokens: u32) -> String {
+    (0..tokens).map(|position| text(prompt, position)).collect()
+}
+
+/// Hash of the prompt's prefix, as cache events name it.
+pub fn prefix(prompt: &str) -> u64 {
+    let bytes = prompt.as_bytes();
+    let mut hasher = SipHasher24::new();
+    hasher.write(&bytes[..bytes.len().min(PREFIX_BYTES)]);
+    hasher.finish()
+}
--- /dev/null
+++ b/standins/src/vms.rs
@@ -0,0 +1,106 @@
+//! The platform's list of VMs; its answers lag behind changes.
+
+use std::collections::BTreeMap;
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use actix_web::HttpResponse;
+use actix_web::web::{self, Data, ServiceConfig};
+use parking_lot::Mutex;
+use parsleybeam::platform::Listed;
+
+use crate::server::{Lifeline, Running, Service, any_port};
+
+/// How the stand-in behaves.
+#[derive(Clone, Debug)]
+pub struct Options {
+    /// Where it listens.
+    pub listen: SocketAddr,
+    /// Time until a change shows, in milliseconds.
+    pub lag_ms: u64,
+}
+
+impl Default for Options {
+    fn default() -> Self {
+        Self { listen: any_port(), lag_ms: 0 }
+    }
+}
+
+/// Starts it with an empty list.
+pub fn start(options: Options) -> io::Result<Running> {
+    let list = List { lag: Duration::from_millis(options.lag_ms), state: Mutex::default() };
+    Running::start(options.listen, Vms(Data::new(list)), Arc::<Lifeline>::default())
+}
+
+struct Vms(Data<List>);
+
+impl Service for Vms {
+    fn configure(&self, config: &mut ServiceConfig) {
+        config
+            .app_data(self.0.clone())
+            .route("/v1/vms", web::get().to(list))
+            .route("/v1/vms", web::put().to(put))
+            .route("/v1/vms/{vm}", web::put().to(put_named))
+            .route("/v1/vms/{vm}", web::delete().to(delete));
+    }
+}
+
+/// A change: a VM as it now is, or none if it is gone.
+type Change = (Instant, String, Option<Listed>);
+
+#[derive(Default)]
+struct State {
+    shown: BTreeMap<String, Listed>,
+    coming: Vec<Change>,
+}
+
+struct List {
+    lag: Duration,
+    state: Mutex<State>,
+}
+
+impl List {
+    fn change(&self, vm: String, listed: Option<Listed>) {
+        self.state.lock().coming.push((Instant::now() + self.lag, vm, listed));
+    }
+
+    fn shown(&self) -> Vec<Listed> {
+        let now = Instant::now();
+        let mut state = self.state.lock();
+        let due = state.coming.partition_point(|(at, ..)| *at <= now);
+        let changes: Vec<_> = state.coming.drain(..due).collect();
+        for (_, vm, listed) in changes {
+            match listed {
+                Some(listed) => state.shown.insert(vm, listed),
+                None => state.shown.remove(&vm),
+            };
+        }
+        state.shown.values().cloned().collect()
+    }
+}
+
+async fn list(list: Data<List>) -> web::Json<Vec<Listed>> {
+    web::Json(list.shown())
+}
+
+async fn put(list: Data<List>, vm: web::Json<Listed>) -> HttpResponse {
+    let listed = vm.into_inner();
+    list.change(listed.vm.as_str().to_owned(), Some(listed));
+    HttpResponse::NoContent().finish()
+}
+
+async fn put_named(
+    list: Data<List>,
+    vm: web::Json<Listed>,
+    name: web::Path<String>,
+) -> HttpResponse {
+    list.change(name.into_inner(), Some(vm.into_inner()));
+    HttpResponse::NoContent().finish()
+}
+
+async fn delete(list: Data<List>, name: web::Path<String>) -> HttpResponse {
+    list.change(name.into_inner(), None);
+    HttpResponse::NoContent().finish()
+}
