Answer callers through a filter chain

Cause: the thin path needs an online answer from end to end. Nine filters, each in its own file, refuse or extend one exchange; a request goes to an upstream by awc with listed headers only. Ruled out: taking every failed connect of awc as not sent, since awc gives Connect(Disconnected) also for a connection that ends after the send, and taking the end of an awc body as a whole answer, since awc ends it silently when the connection breaks.

--- /dev/null
+++ b/src/api/caller.rs
@@ -0,0 +1,92 @@
+//! The callers' interface: every path that is registered nowhere else is a
+//! route of the configuration.
+//!
+//! Per traffic thread, in the application's factory:
+//! `App::new().app_data(web::Data::new(caller::State::new(chain, body_limit)))
+//! .configure(caller::configure)`. The server should be built with
+//! `h1_allow_half_closed(false)`: only then is a request dropped, and
+//! cancelled upstream, when its caller goes away before the answer.
+
+use actix_web::http::header;
+use actix_web::{HttpRequest, HttpResponse, ResponseError, web};
+use bytes::{Bytes, BytesMut};
+use futures_util::StreamExt;
+
+use crate::claim::Answer;
+use crate::error::{Error, Kind, Result};
+use crate::filter::{Arrival, Chain, Reply};
+
+/// Names a request, from and to callers.
+const REQUEST_ID: &str = "x-request-id";
+
+/// What the interface needs; one for each traffic thread.
+pub struct State {
+    chain: Chain,
+    body_limit: usize,
+}
+
+impl State {
+    /// Makes the state; `body_limit` is the largest body read, in bytes.
+    pub fn new(chain: Chain, body_limit: usize) -> Self {
+        Self { chain, body_limit }
+    }
+}
+
+/// Registers the interface; needs `web::Data<State>`.
+pub fn configure(config: &mut web::ServiceConfig) {
+    config.default_service(web::to(call));
+}
+
+async fn call(
+    request: HttpRequest,
+    payload: web::Payload,
+    state: web::Data<State>,
+) -> HttpResponse {
+    let body = match read(payload, state.body_limit).await {
+        Ok(body) => body,
+        Err(error) => return error.error_response(),
+    };
+    let arrival = Arrival {
+        method: request.method().clone(),
+        path: request.uri().path().to_owned(),
+        query: request.uri().query().unwrap_or_default().to_owned(),
+        headers: request.headers().clone(),
+        body,
+    };
+    let (name, reply) = state.chain.run(arrival).await;
+    let mut response = match reply {
+        Ok(Reply::Whole(answer)) => respond(answer),
+        Ok(Reply::Stream(events)) => HttpResponse::Ok()
+            .insert_header((header::CONTENT_TYPE, "text/event-stream"))
+            .insert_header((header::CACHE_CONTROL, "no-store"))
+            .streaming(events),
+        Err(error) => error.error_response(),
+    };
+    if let Ok(value) = header::HeaderValue::from_str(&name) {
+        response.headers_mut().insert(header::HeaderName::from_static(REQUEST_ID), value);
+    }
+    response
+}
+
+fn respond(answer: Answer) -> HttpResponse {
+    let status = actix_web::http::StatusCode::from_u16(answer.status);
+    let status = status.unwrap_or(actix_web::http::StatusCode::BAD_GATEWAY);
+    let mut response = HttpResponse::build(status);
+    if !answer.content_type.is_empty() {
+        response.insert_header((header::CONTENT_TYPE, answer.content_type));
+    }
+    response.body(answer.body)
+}
+
+async fn read(mut payload: web::Payload, limit: usize) -> Result<Bytes> {
+    let mut body = BytesMut::new();
+    while let Some(chunk) = payload.next().await {
+        let chunk = chunk
+            .map_err(|error| Error::new(Kind::Malformed, format!("the body broke off: {error}")))?;
+        if body.len() + chunk.len() > limit {
+            return Err(Error::new(Kind::TooLarge, format!("the body is over {limit} bytes")));
+        }
+        body.extend_from_slice(&chunk);
+    }
+    Ok(body.freeze())
+}
--- a/src/api/mod.rs
+++ b/src/api/mod.rs
@@ -1,3 +1,4 @@
 //! HTTP interfaces for callers and operators.
 
+pub mod caller;
 pub mod entries;
--- /dev/null
+++ b/src/filter/chain.rs
@@ -0,0 +1,91 @@
+//! The filters in their order, and what they use.
+
+use std::rc::Rc;
+use std::sync::Arc;
+
+use super::claim::Claim;
+use super::identify::Identify;
+use super::parse::Parse;
+use super::quarantine::Quarantine;
+use super::queue::Queue;
+use super::rate::Rate;
+use super::relay::Relay;
+use super::route::Route;
+use super::send::Send;
+use super::{Arrival, Exchange, Filter, Reply};
+use crate::admission::{Gate, Line};
+use crate::claim::Claims;
+use crate::context::Context;
+use crate::error::{Error, Kind, Result};
+use crate::id::Organisation;
+use crate::upstream::Client;
+
+/// What the filters use; one for each traffic thread.
+#[derive(Clone)]
+pub struct Services {
+    /// The process's surroundings.
+    pub context: Context,
+    /// Rates.
+    pub gate: Arc<dyn Gate>,
+    /// Fair queues.
+    pub line: Arc<dyn Line>,
+    /// Calls to upstreams.
+    pub client: Rc<dyn Client>,
+    /// Claims on requests that run at most once; none refuses
+    /// `Idempotency-Key` on routes that need one.
+    pub claims: Option<Rc<dyn Claims>>,
+}
+
+/// Name under which requests of open routes queue; no organisation can have
+/// it, for its space.
+pub fn open_organisation() -> Organisation {
+    Organisation::from("open routes")
+}
+
+/// The chain of one traffic thread.
+pub struct Chain {
+    services: Rc<Services>,
+    filters: Vec<Box<dyn Filter>>,
+}
+
+impl Chain {
+    /// Builds the chain.
+    pub fn new(services: Services) -> Self {
+        let services = Rc::new(services);
+        let filters: Vec<Box<dyn Filter>> = vec![
+            Box::new(Parse::new(services.clone())),
+            Box::new(Identify::new(services.clone())),
+            Box::new(Route::new(services.clone())),
+            Box::new(Quarantine),
+            Box::new(Rate::new(services.clone())),
+            Box::new(Claim::new(services.clone())),
+            Box::new(Queue::new(services.clone())),
+            Box::new(Send::new(services.clone())),
+            Box::new(Relay::new(services.clone())),
+        ];
+        Self { services, filters }
+    }
+
+    /// Runs one request; gives the reply and the identifier that names it.
+    pub async fn run(&self, arrival: Arrival) -> (String, Result<Reply>) {
+        let view = self.services.context.shared.load();
+        let mut exchange = Exchange::new(arrival, view);
+        for (passed, filter) in self.filters.iter().enumerate() {
+            if let Err(error) = filter.apply(&mut exchange).await {
+                self.undo(passed, &exchange, &error).await;
+                return (exchange.request, Err(error));
+            }
+            if exchange.reply.is_some() {
+                break;
+            }
+        }
+        let reply = exchange.reply.ok_or_else(|| Error::new(Kind::Internal, "no reply was made"));
+        (exchange.request, reply)
+    }
+
+    async fn undo(&self, passed: usize, exchange: &Exchange, error: &Error) {
+        for filter in self.filters[..passed].iter().rev() {
+            filter.undo(exchange, error).await;
+        }
+    }
+}
--- /dev/null
+++ b/src/filter/exchange.rs
@@ -0,0 +1,125 @@
+//! A request on its way through the chain.
+
+use std::pin::Pin;
+use std::sync::Arc;
+
+use bytes::Bytes;
+use futures_util::Stream;
+
+use super::send::Dispatch;
+use super::{Arrival, Prompt};
+use crate::admission::Permit;
+use crate::claim::{self, Answer};
+use crate::clock::Time;
+use crate::config::resource::{Route, Serves};
+use crate::error::{Error, Kind, Result};
+use crate::id::Organisation;
+use crate::upstream::Parts;
+use crate::view::{Digest, View};
+
+/// What the caller gets.
+pub enum Reply {
+    /// A whole answer.
+    Whole(Answer),
+    /// An event stream, produced while it is sent.
+    Stream(Pin<Box<dyn Stream<Item = Result<Bytes>>>>),
+}
+
+/// A running attempt at an upstream.
+pub struct Attempt {
+    /// Slot at the upstream, held until the answer is whole.
+    pub permit: Permit,
+    /// Identifier that the answer carries.
+    pub request: String,
+    /// Status of the answer.
+    pub status: u16,
+    /// Media type of the answer.
+    pub content_type: String,
+    /// The rest of the answer.
+    pub parts: Parts,
+}
+
+/// What the filters know of a request.
+pub struct Exchange {
+    /// As it came.
+    pub arrival: Arrival,
+    /// Configuration it is judged by.
+    pub view: Arc<View>,
+    /// Identifier that the caller sees.
+    pub request: String,
+    /// Trace context to pass on.
+    pub traceparent: Option<String>,
+    /// The caller's idempotency key.
+    pub idempotency_key: Option<String>,
+    /// When the caller stops waiting; set by its header or by the route.
+    pub deadline: Option<Time>,
+    /// Key that the caller showed.
+    pub key: Option<String>,
+    /// Digest of that key.
+    pub digest: Option<Digest>,
+    /// Whose key it is.
+    pub organisation: Option<Organisation>,
+    /// Route that it takes.
+    pub route: Option<Route>,
+    /// What must serve it.
+    pub serves: Option<Serves>,
+    /// What an engine's request asks for.
+    pub prompt: Option<Prompt>,
+    /// Claim granted to it.
+    pub claim: Option<claim::Key>,
+    /// Slot that it got.
+    pub permit: Option<Permit>,
+    /// Attempt that answers.
+    pub attempt: Option<Attempt>,
+    /// Sends it again.
+    pub dispatch: Option<Dispatch>,
+    /// Whether any byte of it went to an upstream.
+    pub sent: bool,
+    /// What the caller gets.
+    pub reply: Option<Reply>,
+}
+
+impl Exchange {
+    /// Starts with nothing but what arrived.
+    pub fn new(arrival: Arrival, view: Arc<View>) -> Self {
+        Self {
+            arrival,
+            view,
+            request: String::new(),
+            traceparent: None,
+            idempotency_key: None,
+            deadline: None,
+            key: None,
+            digest: None,
+            organisation: None,
+            route: None,
+            serves: None,
+            prompt: None,
+            claim: None,
+            permit: None,
+            attempt: None,
+            dispatch: None,
+            sent: false,
+            reply: None,
+        }
+    }
+
+    /// The route that the filter of that name set.
+    pub fn route(&self) -> Result<&Route> {
+        self.route.as_ref().ok_or_else(|| missing("route"))
+    }
+
+    /// The target that the route filter set.
+    pub fn serves(&self) -> Result<&Serves> {
+        self.serves.as_ref().ok_or_else(|| missing("target"))
+    }
+
+    /// The deadline that the route filter set.
+    pub fn deadline(&self) -> Result<Time> {
+        self.deadline.ok_or_else(|| missing("deadline"))
+    }
+}
+
+fn missing(what: &str) -> Error {
+    Error::new(Kind::Internal, format!("a filter needs the {what} before it is known"))
+}
--- /dev/null
+++ b/src/filter/queue.rs
@@ -0,0 +1,45 @@
+//! Waits in the fair queue for a slot at an upstream.
+
+use std::rc::Rc;
+
+use futures_util::future::LocalBoxFuture;
+
+use super::{Exchange, Filter, Services};
+use crate::admission::Ticket;
+use crate::error::{Error, Kind, Result};
+
+/// Queues requests.
+pub struct Queue {
+    services: Rc<Services>,
+}
+
+impl Queue {
+    /// Makes the filter.
+    pub fn new(services: Rc<Services>) -> Self {
+        Self { services }
+    }
+}
+
+impl Filter for Queue {
+    fn apply<'a>(&'a self, exchange: &'a mut Exchange) -> LocalBoxFuture<'a, Result<()>> {
+        Box::pin(async move {
+            let ticket = ticket(exchange)?;
+            exchange.permit = Some(self.services.line.enter(ticket).await?);
+            Ok(())
+        })
+    }
+}
+
+/// What a request asks of the line.
+pub fn ticket(exchange: &Exchange) -> Result<Ticket> {
+    let organisation = exchange.organisation.clone();
+    Ok(Ticket {
+        organisation: organisation.ok_or_else(|| Error::new(Kind::Internal, "nobody asks"))?,
+        target: exchange.serves()?.clone(),
+        cost: exchange.prompt.as_ref().map_or(1, |prompt| prompt.cost),
+        deadline: exchange.deadline()?,
+        excluded: Vec::new(),
+        alone: false,
+        prefix: exchange.prompt.as_ref().map(|prompt| prompt.prefix),
+    })
+}
--- /dev/null
+++ b/src/filter/rate.rs
@@ -0,0 +1,46 @@
+//! Takes the request's cost from its organisation's rate.
+
+use std::rc::Rc;
+
+use futures_util::future::LocalBoxFuture;
+
+use super::chain::open_organisation;
+use super::{Exchange, Filter, Services};
+use crate::error::{Error, Result, Run};
+
+/// Holds organisations to their rates.
+pub struct Rate {
+    services: Rc<Services>,
+}
+
+impl Rate {
+    /// Makes the filter.
+    pub fn new(services: Rc<Services>) -> Self {
+        Self { services }
+    }
+}
+
+impl Filter for Rate {
+    fn apply<'a>(&'a self, exchange: &'a mut Exchange) -> LocalBoxFuture<'a, Result<()>> {
+        Box::pin(async move {
+            match &exchange.organisation {
+                Some(organisation) if *organisation != open_organisation() => {
+                    self.services.gate.take(organisation).await
+                }
+                _ => Ok(()),
+            }
+        })
+    }
+
+    fn undo<'a>(&'a self, exchange: &'a Exchange, error: &'a Error) -> LocalBoxFuture<'a, ()> {
+        Box::pin(async move {
+            let Some(organisation) = &exchange.organisation else { return };
+            if *organisation == open_organisation() {
+                return;
+            }
+            if !exchange.sent && error.answer().run == Run::NotRun {
+                self.services.gate.give_back(organisation);
+            }
+        })
+    }
+}
--- a/src/upstream/mod.rs
+++ b/src/upstream/mod.rs
@@ -2,6 +2,10 @@
 //!
 //! A `Call` is what an upstream sees: the caller's key is never part of it.
 
+mod http;
+
+pub use http::Http;
+
 use bytes::Bytes;
 use futures_util::future::LocalBoxFuture;
 use tokio::sync::mpsc;
--- /dev/null
+++ b/tests/caller.rs
@@ -0,0 +1,276 @@
+//! The callers' interface, from a socket to a socket.
+
+mod common;
+
+use std::io::{Read, Write};
+
+use common::{Act, BODY_LIMIT, Engine, KEY, entry, get, no_claims, post, problem, view, wait};
+use parsleybeam::clock::Time;
+use parsleybeam::view::View;
+
+const ASK: &str = r#"{"model":"m","prompt":"tell me","max_tokens":8}"#;
+const STREAM: &str = r#"{"model":"m","prompt":"tell me","max_tokens":8,"stream":true}"#;
+
+fn tokens(body: &str) -> Vec<u64> {
+    let events = body.split("\n\n").filter_map(|event| event.strip_prefix("data: "));
+    let events = events.filter(|data| *data != "[DONE]");
+    events
+        .map(|data| serde_json::from_str::<serde_json::Value>(data).expect("an event"))
+        .filter_map(|event| event["position"].as_u64())
+        .collect()
+}
+
+fn whole() -> Vec<u64> {
+    (0..u64::from(common::TOKENS)).collect()
+}
+
+#[actix_rt::test]
+async fn call_whole() {
+    let engine = Engine::default();
+    let entry = entry(view(&[engine.start()], &[]), no_claims);
+    let request = post(&entry, "/v1/completions").insert_header(("x-request-id", "mine"));
+    let mut answer = request.send_body(ASK).await.expect("an answer");
+    assert_eq!(answer.status(), 200);
+    assert_eq!(answer.headers().get("x-request-id").expect("named"), "mine");
+    let body = answer.body().await.expect("a body");
+    assert!(String::from_utf8_lossy(&body).contains("whole"));
+}
+
+#[actix_rt::test]
+async fn call_stream() {
+    let engine = Engine::default();
+    let entry = entry(view(&[engine.start()], &[]), no_claims);
+    let (status, body) = get(post(&entry, "/v1/completions"), STREAM).await;
+    assert_eq!(status, 200);
+    assert_eq!(tokens(&body), whole());
+    assert!(body.ends_with("data: [DONE]\n\n"));
+}
+
+#[actix_rt::test]
+async fn call_key_never_seen() {
+    let engine = Engine::default();
+    let entry = entry(view(&[engine.start()], &[]), no_claims);
+    let request = post(&entry, "/v1/completions")
+        .insert_header(("x-api-key", KEY))
+        .insert_header(("x-request-id", KEY))
+        .insert_header(("cookie", format!("key={KEY}")));
+    assert_eq!(get(request, ASK).await.0, 200);
+    let seen = engine.seen.lock();
+    assert!(!format!("{seen:?}").contains(KEY), "{seen:?}");
+    let mut names: Vec<_> = seen[0].headers.iter().map(|(name, _)| name.as_str()).collect();
+    names.sort_unstable();
+    assert_eq!(names, ["content-length", "content-type", "date", "host", "x-request-id"]);
+}
+
+#[actix_rt::test]
+async fn call_key_elsewhere() {
+    let engine = Engine::default();
+    let entry = entry(view(&[engine.start()], &[]), no_claims);
+    let in_query = get(post(&entry, &format!("/v1/completions?key={KEY}")), ASK).await;
+    assert_eq!(problem(&in_query).1, "malformed");
+    let in_body = get(post(&entry, "/v1/completions"), &ASK.replace("tell me", KEY)).await;
+    assert_eq!(problem(&in_body).1, "malformed");
+    let in_type = post(&entry, "/v1/completions").insert_header(("content-type", KEY));
+    assert_eq!(problem(&get(in_type, ASK).await).1, "malformed");
+    assert_eq!(engine.count(), 0);
+}
+
+#[actix_rt::test]
+async fn call_refusals() {
+    let engine = Engine::default();
+    let entry = entry(view(&[engine.start()], &[]), no_claims);
+    let path = "/v1/completions";
+    let bare = |body: &'static str| {
+        let request = awc::Client::default().post(format!("http://{}{path}", entry.address));
+        (request, body)
+    };
+    let long = format!("{{\"model\":\"m\",\"prompt\":\"{}\"}}", "x".repeat(BODY_LIMIT));
+    let (missing, body) = bare(ASK);
+    let (wrong, _) = bare(ASK);
+    let wrong = wrong.insert_header(("authorization", "Bearer wrong"));
+    let cases = [
+        (post(&entry, path), "{\"model\":", 400, "malformed"),
+        (post(&entry, path), "{\"model\":\"m\"}", 400, "malformed"),
+        (post(&entry, path), long.as_str(), 413, "too-large"),
+        (post(&entry, "/nowhere"), ASK, 404, "unknown-route"),
+        (missing, body, 401, "key-missing"),
+        (wrong, ASK, 401, "key-refused"),
+        (post(&entry, path).insert_header(("x-request-id", "a\tb")), ASK, 400, "malformed"),
+        (post(&entry, path).insert_header(("traceparent", "00-zz-1-0")), ASK, 400, "malformed"),
+        (post(&entry, path).insert_header(("x-deadline-ms", "-1")), ASK, 400, "malformed"),
+    ];
+    for (request, body, status, code) in cases {
+        let answer = problem(&get(request, body).await);
+        assert_eq!(answer, (status, code.into(), "not-run".into()));
+    }
+    assert_eq!(engine.count(), 0);
+    assert_eq!(get(post(&entry, path), ASK).await.0, 200);
+}
+
+/// Sends raw bytes and reads until the other side closes or a limit.
+fn raw(address: std::net::SocketAddr, bytes: &[u8]) -> String {
+    let mut stream = std::net::TcpStream::connect(address).expect("connect");
+    stream.write_all(bytes).expect("write");
+    stream.shutdown(std::net::Shutdown::Write).expect("shutdown");
+    let mut answer = Vec::new();
+    let _ = stream.read_to_end(&mut answer);
+    String::from_utf8_lossy(&answer).into_owned()
+}
+
+#[actix_rt::test]
+async fn call_truncated() {
+    let engine = Engine::default();
+    let entry = entry(view(&[engine.start()], &[]), no_claims);
+    let address = entry.address;
+    let request = format!(
+        "POST /v1/completions HTTP/1.1\r\nhost: x\r\nauthorization: Bearer {KEY}\r\n\
+         content-length: 400\r\n\r\n{ASK}"
+    );
+    let _ = actix_web::web::block(move || raw(address, request.as_bytes())).await.expect("read");
+    assert_eq!(engine.count(), 0);
+    assert_eq!(get(post(&entry, "/v1/completions"), ASK).await.0, 200);
+}
+
+#[actix_rt::test]
+async fn call_injected_header() {
+    let engine = Engine::default();
+    let entry = entry(view(&[engine.start()], &[]), no_claims);
+    let address = entry.address;
+    for injected in ["x-request-id: a\rb: c", "x-request-id: a\r\n folded", "traceparent: 0\0"] {
+        let request = format!(
+            "POST /v1/completions HTTP/1.1\r\nhost: x\r\nauthorization: Bearer {KEY}\r\n\
+             {injected}\r\nconnection: close\r\ncontent-length: {}\r\n\r\n{ASK}",
+            ASK.len()
+        );
+        let answer =
+            actix_web::web::block(move || raw(address, request.as_bytes())).await.expect("read");
+        assert!(answer.starts_with("HTTP/1.1 400"), "{injected:?}: {answer}");
+    }
+    assert_eq!(engine.count(), 0);
+}
+
+#[actix_rt::test]
+async fn call_out_of_contact() {
+    let engine = Engine::default();
+    let entry = entry(view(&[engine.start()], &[]), no_claims);
+    entry.context.shared.contact.set(Time(0));
+    let answer = get(post(&entry, "/v1/completions"), ASK).await;
+    assert_eq!(problem(&answer), (503, "out-of-contact".into(), "not-run".into()));
+    assert_eq!(engine.count(), 0);
+}
+
+#[actix_rt::test]
+async fn call_withdrawn_ends_stream() {
+    let engine = Engine::default();
+    engine.acts([Act::Trickle]);
+    let entry = entry(view(&[engine.start()], &[]), no_claims);
+    let mut answer = post(&entry, "/v1/completions").send_body(STREAM).await.expect("an answer");
+    assert_eq!(answer.status(), 200);
+    let mut without: View = (*entry.context.shared.load()).clone();
+    without.keys.clear();
+    entry.context.shared.view.store(std::sync::Arc::new(without));
+    let body = answer.body().limit(1 << 20).await;
+    let body = String::from_utf8_lossy(&body.unwrap_or_default()).into_owned();
+    assert!(!body.contains("[DONE]"));
+    wait("the upstream is cancelled", || *engine.cut.lock() == 1).await;
+    let refused = get(post(&entry, "/v1/completions"), ASK).await;
+    assert_eq!(problem(&refused).1, "key-refused");
+}
+
+#[actix_rt::test]
+async fn call_caller_gone_stream() {
+    let engine = Engine::default();
+    engine.acts([Act::Trickle]);
+    let entry = entry(view(&[engine.start()], &[]), no_claims);
+    let answer = post(&entry, "/v1/completions").send_body(STREAM).await.expect("an answer");
+    drop(answer);
+    wait("the upstream is cancelled", || *engine.cut.lock() == 1).await;
+}
+
+#[actix_rt::test]
+async fn call_caller_gone_whole() {
+    let engine = Engine::default();
+    engine.acts([Act::Hang]);
+    let entry = entry(view(&[engine.start()], &[]), no_claims);
+    let request = post(&entry, "/v1/completions");
+    let call = actix_rt::spawn(async move { request.send_body(ASK).await.map(|_| ()) });
+    wait("the upstream has it", || engine.count() == 1).await;
+    call.abort();
+    wait("the upstream is cancelled", || *engine.cut.lock() == 1).await;
+}
+
+#[actix_rt::test]
+async fn call_crossed() {
+    let (crossing, whole) = (Engine::default(), Engine::default());
+    crossing.acts([Act::Cross]);
+    let entry = entry(view(&[crossing.start(), whole.start()], &[]), no_claims);
+    assert_eq!(get(post(&entry, "/v1/completions"), ASK).await.0, 200);
+    assert_eq!((crossing.count(), whole.count()), (1, 1));
+}
+
+#[actix_rt::test]
+async fn call_broken_whole_sent_again() {
+    let (dying, living) = (Engine::default(), Engine::default());
+    dying.acts([Act::DieAfter(1)]);
+    let entry = entry(view(&[dying.start(), living.start()], &[]), no_claims);
+    let (status, body) = get(post(&entry, "/v1/completions"), ASK).await;
+    assert_eq!((status, body.contains("whole")), (200, true), "{body}");
+    assert_eq!((dying.count(), living.count()), (1, 1));
+}
+
+#[actix_rt::test]
+async fn call_broken_stream_resumes() {
+    let (dying, living) = (Engine::default(), Engine::default());
+    dying.acts([Act::DieAfter(3)]);
+    let entry = entry(view(&[dying.start(), living.start()], &[]), no_claims);
+    let (_, body) = get(post(&entry, "/v1/completions"), STREAM).await;
+    assert_eq!(tokens(&body), whole());
+    let resumed: serde_json::Value =
+        serde_json::from_slice(&living.seen.lock()[0].body).expect("a body");
+    assert_eq!(resumed["resume_from"], 3);
+}
+
+#[actix_rt::test]
+async fn call_not_idempotent_sent_once() {
+    for act in [Act::Die, Act::Cross, Act::DieAfter(1)] {
+        let (first, second) = (Engine::default(), Engine::default());
+        first.acts([act]);
+        let entry = entry(view(&[], &[first.start(), second.start()]), no_claims);
+        let answer = get(post(&entry, "/bill"), ASK).await;
+        assert_eq!(problem(&answer), (502, "outcome-unknown".into(), "unknown".into()), "{act:?}");
+        assert_eq!((first.count(), second.count()), (1, 0));
+        assert_eq!(*entry.gate.given_back.lock(), 0);
+    }
+}
+
+#[actix_rt::test]
+async fn call_refused_connection_tried_elsewhere() {
+    let closed = std::net::TcpListener::bind("127.0.0.1:0").expect("bind");
+    let dead = closed.local_addr().expect("address");
+    drop(closed);
+    let living = Engine::default();
+    let entry = entry(view(&[], &[dead, living.start()]), no_claims);
+    assert_eq!(get(post(&entry, "/bill"), ASK).await.0, 200);
+    assert_eq!(living.count(), 1);
+}
+
+#[actix_rt::test]
+async fn call_all_refused_not_run() {
+    let closed = std::net::TcpListener::bind("127.0.0.1:0").expect("bind");
+    let dead = closed.local_addr().expect("address");
+    drop(closed);
+    let entry = entry(view(&[], &[dead]), no_claims);
+    let answer = problem(&get(post(&entry, "/bill"), ASK).await);
+    assert_eq!(answer.2, "not-run");
+    assert_eq!(*entry.gate.given_back.lock(), 1);
+}
+
+#[actix_rt::test]
+async fn call_deadline() {
+    let engine = Engine::default();
+    engine.acts([Act::Hang]);
+    let entry = entry(view(&[engine.start()], &[]), no_claims);
+    let request = post(&entry, "/v1/completions").insert_header(("x-deadline-ms", "100"));
+    let answer = problem(&get(request, ASK).await);
+    assert_eq!(answer, (504, "deadline-exceeded".into(), "unknown".into()));
+}
