--- a/src/api/mod.rs
+++ b/src/api/mod.rs
@@ -2,3 +2,4 @@
 
 pub mod caller;
 pub mod entries;
+pub mod operator;
--- a/src/config/mod.rs
+++ b/src/config/mod.rs
@@ -1,3 +1,15 @@
 //! The operators' configuration: resources, their validation and their spread.
+//!
+//! Each resource is one key of the platform's service. A `Cache` holds a
+//! complete state up to a version that only rises; deletions are kept as
+//! tombstones, so that an older state can neither revert nor resurrect.
 
 pub mod resource;
+
+mod cache;
+mod stored;
+mod validate;
+
+pub use cache::{Adopted, Cache, Delta, Held, Item};
+pub use stored::{Address, Stored};
+pub use validate::{check, check_name, read_spec};
--- /dev/null
+++ b/src/control/command.rs
@@ -0,0 +1,140 @@
+//! What other threads ask of the control thread.
+
+use std::collections::BTreeMap;
+
+use serde::{Deserialize, Serialize};
+use serde_json::Value;
+use tokio::sync::{mpsc, oneshot};
+
+use crate::config::Address;
+use crate::config::resource::{Kind, Spec};
+use crate::error::{self, Error, Result};
+use crate::view::State;
+
+key! {
+    /// What a write expects to replace.
+    pub enum Expected {
+        /// Whatever stands there.
+        Any,
+        /// Nothing: the resource must not exist.
+        Absent,
+        /// Exactly this version.
+        Version(u64),
+    }
+}
+
+/// A resource as operators read it.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Resource {
+    /// Its kind.
+    pub kind: Kind,
+    /// Its name.
+    pub name: String,
+    /// Version of its last write.
+    pub version: u64,
+    /// What the operator wants; none once deleted.
+    #[serde(skip_serializing_if = "Option::is_none", default)]
+    pub spec: Option<Value>,
+    /// What the system reports.
+    #[serde(default)]
+    pub status: Status,
+}
+
+/// What the system reports about a resource.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Status {
+    /// Whether the last write can no longer be lost or reverted.
+    #[serde(default)]
+    pub accepted: bool,
+    /// Configuration version that each VM was last heard to hold.
+    #[serde(default)]
+    pub in_force: BTreeMap<String, u64>,
+}
+
+/// What a watch delivers.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Update {
+    /// A resource was written or deleted.
+    Changed(Resource),
+    /// Everything up to this version was delivered.
+    Bookmark(u64),
+}
+
+/// How a write ended.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Written {
+    /// The resource as stored.
+    pub resource: Resource,
+    /// Whether it is accepted; otherwise it is stored, not yet in force.
+    pub accepted: bool,
+}
+
+/// A resource's updates, until dropped.
+pub type Updates = mpsc::Receiver<Update>;
+
+/// What the control thread is asked.
+pub(super) enum Command {
+    Get { address: Address, reply: oneshot::Sender<Result<Resource>> },
+    List { kind: Kind, reply: oneshot::Sender<(u64, Vec<Resource>)> },
+    Watch { kind: Kind, from: u64, reply: oneshot::Sender<Result<Updates>> },
+    Write(Write),
+    State(State),
+}
+
+/// A wanted write.
+pub(super) struct Write {
+    pub(super) address: Address,
+    pub(super) spec: Option<Spec>,
+    pub(super) expected: Expected,
+    pub(super) reply: oneshot::Sender<Result<Written>>,
+}
+
+/// Asks the control thread, from any thread.
+#[derive(Clone)]
+pub struct Handle {
+    pub(super) commands: mpsc::UnboundedSender<Command>,
+}
+
+impl Handle {
+    /// Reads a resource; `NotFound` where there is none.
+    pub async fn get(&self, address: Address) -> Result<Resource> {
+        self.ask(|reply| Command::Get { address, reply }).await?
+    }
+
+    /// The configuration's version and all resources of a kind.
+    pub async fn list(&self, kind: Kind) -> Result<(u64, Vec<Resource>)> {
+        self.ask(|reply| Command::List { kind, reply }).await
+    }
+
+    /// Updates of a kind after a version; `WatchTooOld` where it isn't kept.
+    pub async fn watch(&self, kind: Kind, from: u64) -> Result<Updates> {
+        self.ask(|reply| Command::Watch { kind, from, reply }).await?
+    }
+
+    /// Writes a resource, or deletes it where `spec` is none. Errors:
+    /// `VersionConflict`, `NotFound`, `PlatformUnavailable` when certainly
+    /// nothing was applied, `WriteUnknown` when that can't be told.
+    pub async fn write(
+        &self,
+        address: Address,
+        spec: Option<Spec>,
+        expected: Expected,
+    ) -> Result<Written> {
+        self.ask(|reply| Command::Write(Write { address, spec, expected, reply })).await?
+    }
+
+    /// Tells the fleet whether this VM takes new work.
+    pub fn set_state(&self, state: State) {
+        let _ = self.commands.send(Command::State(state));
+    }
+
+    async fn ask<T, F>(&self, command: F) -> Result<T>
+    where
+        F: FnOnce(oneshot::Sender<T>) -> Command,
+    {
+        let stopped = || Error::new(error::Kind::Internal, "the control thread has stopped");
+        let (reply, answer) = oneshot::channel();
+        self.commands.send(command(reply)).map_err(|_| stopped())?;
+        answer.await.map_err(|_| stopped())
+    }
+}
--- /dev/null
+++ b/src/control/settings.rs
@@ -0,0 +1,66 @@
+//! What the control thread is told about its VM.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+use crate::platform::{Etcd, HttpVmList, KeyValue, VmList};
+use crate::settings;
+use crate::view::Role;
+
+/// What the control thread is told about its VM.
+#[derive(Clone, Debug)]
+pub struct Settings {
+    /// What this VM does.
+    pub role: Role,
+    /// Where peers connect.
+    pub peer: SocketAddr,
+    /// Where callers connect, for entry VMs.
+    pub caller: Option<SocketAddr>,
+    /// Prefix of the fleet's keys in the key-value service.
+    pub prefix: String,
+    /// Peers to ask at start-up while the platform is down.
+    pub seeds: Vec<SocketAddr>,
+}
+
+impl From<&settings::Entry> for Settings {
+    fn from(entry: &settings::Entry) -> Self {
+        Self {
+            role: Role::Entry,
+            peer: entry.peer,
+            caller: Some(entry.caller),
+            prefix: entry.platform.prefix.clone(),
+            seeds: entry.seeds.clone(),
+        }
+    }
+}
+
+impl From<&settings::Store> for Settings {
+    fn from(store: &settings::Store) -> Self {
+        Self {
+            role: Role::Store,
+            peer: store.peer,
+            caller: None,
+            prefix: store.platform.prefix.clone(),
+            seeds: Vec::new(),
+        }
+    }
+}
+
+/// The platform's services, as clients of the control arbiter.
+#[derive(Clone)]
+pub struct Platform {
+    /// The key-value service.
+    pub key_value: Rc<dyn KeyValue>,
+    /// The VM list, where there is one.
+    pub vm_list: Option<Rc<dyn VmList>>,
+}
+
+impl From<&settings::Platform> for Platform {
+    fn from(settings: &settings::Platform) -> Self {
+        let vm_list = settings.vm_list.map(|address| {
+            let list: Rc<dyn VmList> = Rc::new(HttpVmList::new(address));
+            list
+        });
+        Self { key_value: Rc::new(Etcd::new(settings.key_value.clone())), vm_list }
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod clock;
 pub mod config;
 pub mod context;
+pub mod control;
 pub mod error;
 pub mod event;
 pub mod filter;
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -3,13 +3,21 @@
 //! The key-value service keeps what must last. The first implementation
 //! speaks etcd v3 over HTTP and JSON.
 
+mod etcd;
+mod gateway;
+mod http;
+mod vms;
+
+pub use etcd::Etcd;
+pub use vms::HttpVmList;
+
 use std::net::SocketAddr;
 use std::time::Duration;
 
 use futures_util::future::LocalBoxFuture;
 use tokio::sync::mpsc;
 
-use crate::error::Result;
+use crate::error::{Error, Kind, Result};
 use crate::id::{DataCentre, Vm};
 use crate::view::State;
 
@@ -91,6 +99,33 @@
     /// Compares and swaps one key.
     fn swap(&self, swap: Swap) -> LocalBoxFuture<'_, Result<Swapped>>;
 
+    /// Reads one key.
+    fn get(&self, key: &str) -> LocalBoxFuture<'_, Result<Option<Entry>>> {
+        let key = key.to_owned();
+        Box::pin(async move {
+            let range = self.range(&key).await?;
+            Ok(range.entries.into_iter().find(|entry| entry.key == key))
+        })
+    }
+
+    /// Reads the keys under a prefix that were written after a version.
+    fn since(&self, prefix: &str, version: u64) -> LocalBoxFuture<'_, Result<Range>> {
+        let prefix = prefix.to_owned();
+        Box::pin(async move {
+            let mut range = self.range(&prefix).await?;
+            range.entries.retain(|entry| entry.version > version);
+            Ok(range)
+        })
+    }
+
+    /// Compares and swaps one key and, in the same transaction, writes the
+    /// empty key `marker`, so that the marker's version is that of the last
+    /// such swap.
+    fn swap_marked(&self, swap: Swap, marker: &str) -> LocalBoxFuture<'_, Result<Swapped>> {
+        let _ = (swap, marker);
+        Box::pin(async { Err(Error::new(Kind::Internal, "this service keeps no markers")) })
+    }
+
     /// Grants a lease that ends after `ttl` without a renewal.
     fn grant(&self, ttl: Duration) -> LocalBoxFuture<'_, Result<LeaseId>>;
 
--- /dev/null
+++ b/src/platform/vms.rs
@@ -0,0 +1,27 @@
+//! The platform's VM list over HTTP.
+
+use std::net::SocketAddr;
+
+use futures_util::future::LocalBoxFuture;
+
+use super::http::{Http, read_only};
+use super::{Listed, VmList};
+use crate::error::Result;
+
+/// Client of the VM list; stays on the arbiter that made it.
+pub struct HttpVmList {
+    http: Http,
+}
+
+impl HttpVmList {
+    /// Makes a client of the list at `address`.
+    pub fn new(address: SocketAddr) -> Self {
+        Self { http: Http::new(vec![address]) }
+    }
+}
+
+impl VmList for HttpVmList {
+    fn list(&self) -> LocalBoxFuture<'_, Result<Vec<Listed>>> {
+        Box::pin(async { read_only(self.http.get("/v1/vms").await) })
+    }
+}
--- a/src/view.rs
+++ b/src/view.rs
@@ -52,7 +52,7 @@
 }
 
 /// A member of the fleet.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
 pub struct Member {
     /// Its name.
     pub vm: Vm,
