--- a/src/control/command.rs
+++ b/src/control/command.rs
@@ -89,6 +89,15 @@
     pub(super) reply: oneshot::Sender<Result<Written>>,
 }
 
+/// The control thread's end of a channel.
+pub struct Commands(pub(super) mpsc::UnboundedReceiver<Command>);
+
+/// Makes a handle and the end that `start` takes.
+pub fn channel() -> (Handle, Commands) {
+    let (commands, queue) = mpsc::unbounded_channel();
+    (Handle { commands }, Commands(queue))
+}
+
 /// Asks the control thread, from any thread.
 #[derive(Clone)]
 pub struct Handle {
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -11,7 +11,9 @@
 mod shell;
 mod write;
 
-pub use command::{Expected, Handle, Resource, Status, Update, Written};
+pub use command::{
+    Commands, Expected, Handle, Resource, Status, Update, Updates, Written, channel,
+};
 pub use compose::compose;
 pub use settings::{Platform, Settings};
-pub use shell::{Control, start};
+pub use shell::start;
--- a/src/control/shell.rs
+++ b/src/control/shell.rs
@@ -8,7 +8,7 @@
 
 use tokio::sync::{Notify, mpsc};
 
-use super::command::{Command, Handle, Resource, Status, Update, Write};
+use super::command::{Command, Commands, Resource, Status, Update, Write};
 use super::register::{RENEW_INTERVAL, Registration, read_members};
 use super::write::Writer;
 use super::{Platform, Settings, compose};
@@ -32,22 +32,15 @@
 /// Updates that may wait for a slow watcher before it is dropped.
 const WATCH_QUEUE: usize = 1_024;
 
-/// The started control thread.
-pub struct Control {
-    /// Asks it, from any thread.
-    pub handle: Handle,
-}
-
-/// Starts following the platform on the current arbiter.
-pub async fn start(context: Context, settings: Settings, platform: Platform) -> Control {
-    let (commands, queue) = mpsc::unbounded_channel();
+/// Starts the control thread's work on the current arbiter; `commands` comes
+/// from `channel`, whose handle other threads keep.
+pub fn start(context: Context, settings: Settings, platform: Platform, commands: Commands) {
     let shell = Rc::new(Shell::new(context, settings, platform));
     actix_rt::spawn(shell.clone().follow());
     actix_rt::spawn(shell.clone().hint());
     actix_rt::spawn(shell.clone().register());
     actix_rt::spawn(shell.clone().list());
-    actix_rt::spawn(shell.serve(queue));
-    Control { handle: Handle { commands } }
+    actix_rt::spawn(shell.serve(commands));
 }
 
 struct Shell {
@@ -236,8 +229,8 @@
         Ok(())
     }
 
-    async fn serve(self: Rc<Self>, mut queue: mpsc::UnboundedReceiver<Command>) {
-        while let Some(command) = queue.recv().await {
+    async fn serve(self: Rc<Self>, mut queue: Commands) {
+        while let Some(command) = queue.0.recv().await {
             match command {
                 Command::Get { address, reply } => {
                     let _ = reply.send(self.get(&address));
--- a/src/node/entry.rs
+++ b/src/node/entry.rs
@@ -9,12 +9,14 @@
 
 use actix_rt::Arbiter;
 use actix_web::dev::ServerHandle;
-use actix_web::{App, HttpServer};
+use actix_web::{App, HttpServer, web};
 use slog::{Logger, o};
 
 use super::{Listener, pages};
+use crate::api::operator::{Credentials, configure};
 use crate::clock::Monotonic;
 use crate::context::Context;
+use crate::control;
 use crate::emit;
 use crate::error::{Error, Kind, Result};
 use crate::event::Event;
@@ -48,10 +50,12 @@
     crate::trace::install(&context.log);
 
     let control = Arbiter::new();
-    start_control(&control, context.clone(), settings.clone(), peer.socket);
+    let (handle, commands) = control::channel();
+    start_control(&control, context.clone(), settings.clone(), peer.socket, commands);
+    let resources = resources(&settings, &handle);
     let servers = vec![
         serve_callers(&context, &settings, caller.socket)?,
-        pages::serve(&context, operator.socket, |_| {})?,
+        pages::serve(&context, operator.socket, resources)?,
     ];
     emit!(context.log, Event::Started,
         "caller" => caller.address.to_string(), "operator" => operator.address.to_string(),
@@ -94,13 +98,28 @@
     context: Context,
     settings: settings::Entry,
     peer: std::net::TcpListener,
+    commands: control::Commands,
 ) {
     control.spawn_fn(move || {
         let areas = Areas::default();
+        let platform = control::Platform::from(&settings.platform);
+        control::start(context.clone(), (&settings).into(), platform, commands);
         actix_rt::spawn(super::peers::serve(context, settings.fleet_secret, areas, peer));
     });
 }
 
+/// The resource API, for the operators' listener.
+fn resources(
+    settings: &settings::Entry,
+    handle: &control::Handle,
+) -> impl Fn(&mut web::ServiceConfig) + Send + Clone + use<> {
+    let handle = web::Data::new(handle.clone());
+    let credentials = web::Data::new(Credentials::new(&settings.operators));
+    move |config| {
+        config.app_data(handle.clone()).app_data(credentials.clone()).configure(configure);
+    }
+}
+
 fn serve_callers(
     _context: &Context,
     settings: &settings::Entry,
--- a/src/node/store.rs
+++ b/src/node/store.rs
@@ -10,6 +10,7 @@
 use super::{Listener, pages};
 use crate::clock::Monotonic;
 use crate::context::Context;
+use crate::control;
 use crate::emit;
 use crate::error::{Error, Kind, Result};
 use crate::event::Event;
@@ -73,6 +74,9 @@
 ) {
     control.spawn_fn(move || {
         let areas = Areas::default();
+        let platform = control::Platform::from(&settings.platform);
+        let (_, commands) = control::channel();
+        control::start(context.clone(), (&settings).into(), platform, commands);
         actix_rt::spawn(super::peers::serve(context, settings.fleet_secret, areas, peer));
     });
 }
--- a/tests/control.rs
+++ b/tests/control.rs
@@ -16,7 +16,7 @@
 use serde_json::json;
 use support::Memory;
 
-async fn start(memory: &Memory) -> (Handle, Context) {
+fn start(memory: &Memory) -> (Handle, Context) {
     let context = Context {
         vm: "entry-1".into(),
         data_centre: "porto".into(),
@@ -33,8 +33,9 @@
         seeds: Vec::new(),
     };
     let platform = Platform { key_value: Rc::new(memory.clone()), vm_list: None };
-    let control = control::start(context.clone(), settings, platform).await;
-    (control.handle, context)
+    let (handle, commands) = control::channel();
+    control::start(context.clone(), settings, platform, commands);
+    (handle, context)
 }
 
 fn address(name: &str) -> Address {
@@ -47,7 +48,7 @@
 
 #[actix_rt::test]
 async fn write_in_force() {
-    let (handle, context) = start(&Memory::default()).await;
+    let (handle, context) = start(&Memory::default());
     let written = handle.write(address("norte"), Some(organisation(5.0)), Expected::Any).await;
     let written = written.expect("written");
     assert!(written.accepted);
@@ -59,7 +60,7 @@
 #[actix_rt::test]
 async fn write_lost_reply_settled() {
     let memory = Memory::default();
-    let (handle, _) = start(&memory).await;
+    let (handle, _) = start(&memory);
     memory.lose_replies(1);
     let written = handle.write(address("norte"), Some(organisation(5.0)), Expected::Absent).await;
     assert!(written.expect("settled by the write identifier").accepted);
@@ -67,7 +68,7 @@
 
 #[actix_rt::test]
 async fn write_version_conflict() {
-    let (handle, _) = start(&Memory::default()).await;
+    let (handle, _) = start(&Memory::default());
     let first = handle.write(address("norte"), Some(organisation(5.0)), Expected::Absent).await;
     let first = first.expect("written").resource.version;
     let spec = || Some(organisation(6.0));
@@ -80,7 +81,7 @@
 #[actix_rt::test]
 async fn write_outage_refused() {
     let memory = Memory::default();
-    let (handle, _) = start(&memory).await;
+    let (handle, _) = start(&memory);
     memory.set_down(true);
     let result = handle.write(address("norte"), Some(organisation(5.0)), Expected::Any).await;
     assert_eq!(result.expect_err("refused").kind, error::Kind::PlatformUnavailable);
@@ -88,7 +89,7 @@
 
 #[actix_rt::test]
 async fn watch_changes_and_deletions() {
-    let (handle, _) = start(&Memory::default()).await;
+    let (handle, _) = start(&Memory::default());
     let mut updates = handle.watch(Kind::Organisation, 0).await.expect("watch");
     assert_eq!(updates.recv().await, Some(Update::Bookmark(0)));
     let spec = Some(organisation(5.0));
