Serve online answers end to end in a demo

Cause: the parts stood side by side without a process that joins them. Ruled out: daemons started by the demo (a process starts no other), so the demo embeds two entries, two stores and the stand-ins; one logger for each VM (their lines ran into each other on standard error). Conclusion: jobs and claims are next to be joined.

--- /dev/null
+++ b/programs/src/command/demo/mod.rs
@@ -0,0 +1,66 @@
+//! `parsleybeam demo`: a whole fleet in one process.
+
+mod check;
+mod client;
+mod fleet;
+
+use gumdrop::Options;
+use parsleybeam::id::Vm;
+use parsleybeam::settings::{Format, Level, Log};
+
+use super::Failure;
+use fleet::Fleet;
+
+/// Starts a fleet with stand-ins for the platform and the engines in this
+/// process, on loopback ports that it picks, and says how to try it.
+#[derive(Debug, Options)]
+pub struct Arguments {
+    #[options(help = "print this help")]
+    help: bool,
+    #[options(help = "try everything once through the HTTP interfaces and exit")]
+    check: bool,
+    #[options(help = "log what the fleet does", no_short)]
+    verbose: bool,
+}
+
+/// Runs the demo until Ctrl-C, or its check.
+pub async fn run(arguments: &Arguments) -> Result<(), Failure> {
+    let level = if arguments.verbose { Level::Info } else { Level::Error };
+    let fleet = Fleet::start(Log { format: Format::Terminal, level }).await?;
+    let outcome = if arguments.check {
+        check::run(&fleet).await
+    } else {
+        introduce(&fleet);
+        tokio::signal::ctrl_c().await.map_err(|error| Failure::Refused(error.to_string()))
+    };
+    fleet.stop().await;
+    outcome
+}
+
+fn introduce(fleet: &Fleet) {
+    for (vm, address) in fleet.callers() {
+        let vm: &Vm = vm;
+        println!("callers    {vm}  http://{address}");
+    }
+    println!("operators  http://{}", fleet.operator());
+    println!("key        {}", fleet::KEY);
+    println!("credential {}", fleet::CREDENTIAL);
+    println!();
+    println!("try a request:");
+    println!(
+        "  curl -H 'Authorization: Bearer {}' -H 'Content-Type: application/json' \\\n    \
+         -d '{{\"model\": \"{}\", \"prompt\": \"grease reading 3 mm\", \"max_tokens\": 16}}' \\\n    \
+         http://{}/v1/completions",
+        fleet::KEY,
+        fleet::MODEL,
+        fleet.caller(),
+    );
+    println!("see the resources:");
+    println!(
+        "  parsleybeam --server {} --credential {} get routes",
+        fleet.operator(),
+        fleet::CREDENTIAL
+    );
+    println!();
+    println!("Ctrl-C ends it.");
+}
--- a/programs/src/command/mod.rs
+++ b/programs/src/command/mod.rs
@@ -1,6 +1,7 @@
 //! The verbs of the operator's command, a file each.
 
 mod check;
+mod demo;
 mod failure;
 
 pub use failure::Failure;
@@ -27,6 +28,9 @@
     /// `check`
     #[options(help = "check a settings file")]
     Check(check::Arguments),
+    /// `demo`
+    #[options(help = "start a whole fleet in this process, on loopback")]
+    Demo(demo::Arguments),
 }
 
 /// Does what the command line asks for.
@@ -37,6 +41,7 @@
     }
     match arguments.command {
         Some(Command::Check(arguments)) => check::run(&arguments),
+        Some(Command::Demo(arguments)) => demo::run(&arguments).await,
         None => Err(Failure::Input("name a command; see parsleybeam --help".into())),
     }
 }
--- /dev/null
+++ b/src/node/callers.rs
@@ -0,0 +1,72 @@
+//! The callers' HTTP server: one chain for each traffic thread.
+
+use std::net::TcpListener;
+use std::rc::Rc;
+use std::sync::Arc;
+
+use actix_web::dev::ServerHandle;
+use actix_web::{App, HttpServer, web};
+
+use crate::admission::{Gate, Line, Pick, Ticket};
+use crate::api::{caller, entries};
+use crate::clock::Time;
+use crate::context::Context;
+use crate::error::{Error, Kind, Result};
+use crate::filter::{Chain, Services};
+use crate::id;
+use crate::settings;
+use crate::upstream;
+
+/// What the traffic threads share.
+#[derive(Clone)]
+pub(super) struct Traffic {
+    /// The process's surroundings.
+    pub context: Context,
+    /// Rates.
+    pub gate: Arc<dyn Gate>,
+    /// Fair queues.
+    pub line: Arc<dyn Line>,
+}
+
+impl Traffic {
+    /// Serves callers on `socket`.
+    pub fn serve(self, settings: &settings::Entry, socket: TcpListener) -> Result<ServerHandle> {
+        let body_limit = settings.body_limit;
+        let server = HttpServer::new(move || {
+            let chain = Chain::new(self.services());
+            App::new()
+                .app_data(web::Data::new(self.context.clone()))
+                .app_data(web::Data::new(caller::State::new(chain, body_limit)))
+                .configure(entries::configure)
+                .configure(caller::configure)
+        })
+        .workers(settings.threads)
+        .h1_allow_half_closed(false)
+        .disable_signals()
+        .listen(socket)
+        .map_err(|error| Error::new(Kind::Internal, error.to_string()))?
+        .run();
+        let handle = server.handle();
+        actix_rt::spawn(server);
+        Ok(handle)
+    }
+
+    fn services(&self) -> Services {
+        Services {
+            context: self.context.clone(),
+            gate: self.gate.clone(),
+            line: self.line.clone(),
+            client: Rc::new(upstream::Http::new(self.context.clock.clone())),
+            claims: None,
+        }
+    }
+}
+
+/// Takes the first upstream that has room.
+pub(super) struct First;
+
+impl Pick for First {
+    fn pick(&self, _ticket: &Ticket, free: &[id::Upstream], _now: Time) -> Option<id::Upstream> {
+        free.first().cloned()
+    }
+}
--- a/src/node/entry.rs
+++ b/src/node/entry.rs
@@ -9,16 +9,19 @@
 
 use actix_rt::Arbiter;
 use actix_web::dev::ServerHandle;
-use actix_web::{App, HttpServer, web};
+use actix_web::web;
 use slog::{Logger, o};
 
+use super::callers::{First, Traffic};
 use super::{Listener, pages};
+use crate::admission::queue::Fair;
+use crate::admission::share::Equal;
 use crate::api::operator::{Credentials, configure};
 use crate::clock::Monotonic;
 use crate::context::Context;
 use crate::control;
 use crate::emit;
-use crate::error::{Error, Kind, Result};
+use crate::error::Result;
 use crate::event::Event;
 use crate::settings;
 use crate::view::Shared;
@@ -54,7 +57,7 @@
     start_control(&control, context.clone(), settings.clone(), peer.socket, commands);
     let resources = resources(&settings, &handle);
     let servers = vec![
-        serve_callers(&context, &settings, caller.socket)?,
+        traffic(&context).serve(&settings, caller.socket)?,
         pages::serve(&context, operator.socket, resources)?,
     ];
     emit!(context.log, Event::Started,
@@ -120,22 +123,10 @@
     }
 }
 
-fn serve_callers(
-    _context: &Context,
-    settings: &settings::Entry,
-    socket: std::net::TcpListener,
-) -> Result<ServerHandle> {
-    let server = HttpServer::new(App::new)
-        .workers(settings.threads)
-        .disable_signals()
-        .listen(socket)
-        .map_err(fault)?
-        .run();
-    let handle = server.handle();
-    actix_rt::spawn(server);
-    Ok(handle)
-}
-
-fn fault(error: std::io::Error) -> Error {
-    Error::new(Kind::Internal, error.to_string())
+fn traffic(context: &Context) -> Traffic {
+    Traffic {
+        context: context.clone(),
+        gate: Arc::new(Equal::new(context.clone())),
+        line: Arc::new(Fair::new(context.clone(), Arc::new(First))),
+    }
 }
--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -7,6 +7,7 @@
 pub mod entry;
 pub mod store;
 
+mod callers;
 mod listener;
 mod pages;
 mod peers;
