Choose upstreams, bound retries and quarantine crashing requests

Cause: the thin chain took any upstream and sent again without a budget, and a request that crashes engines could walk the fleet. Course decides how often a request may leave and what may be said of it; Budget bounds retries; Poison, asked at the fingerprint's owner before each run, keeps losses and runs under way at two; Balance picks by power of two choices over load, health and cached prefixes. Ruled out: limiting each request to two upstreams by rendezvous hash, which needs no messages but breaks once VMs use different subsets.

--- a/src/api/caller.rs
+++ b/src/api/caller.rs
@@ -7,6 +7,8 @@
 //! `h1_allow_half_closed(false)`: only then is a request dropped, and
 //! cancelled upstream, when its caller goes away before the answer.
 
+use std::rc::Rc;
+
 use actix_web::http::header;
 use actix_web::{HttpRequest, HttpResponse, ResponseError, web};
 use bytes::{Bytes, BytesMut};
@@ -14,21 +16,18 @@
 
 use crate::claim::Answer;
 use crate::error::{Error, Kind, Result};
-use crate::filter::{Arrival, Chain, Reply};
-
-/// Names a request, from and to callers.
-const REQUEST_ID: &str = "x-request-id";
+use crate::filter::{Arrival, Chain, IDEMPOTENCY_KEY, REQUEST_ID, Reply};
 
 /// What the interface needs; one for each traffic thread.
 pub struct State {
-    chain: Chain,
+    chain: Rc<Chain>,
     body_limit: usize,
 }
 
 impl State {
     /// Makes the state; `body_limit` is the largest body read, in bytes.
     pub fn new(chain: Chain, body_limit: usize) -> Self {
-        Self { chain, body_limit }
+        Self { chain: Rc::new(chain), body_limit }
     }
 }
 
@@ -53,7 +52,7 @@
         headers: request.headers().clone(),
         body,
     };
-    let (name, reply) = state.chain.run(arrival).await;
+    let (name, reply) = run(&state.chain, arrival).await;
     let mut response = match reply {
         Ok(Reply::Whole(answer)) => respond(answer),
         Ok(Reply::Stream(events)) => HttpResponse::Ok()
@@ -68,6 +67,18 @@
     response
 }
 
+/// Runs the chain. A request that may run only once is finished even when its
+/// caller goes away, so that a resend gets its answer.
+async fn run(chain: &Rc<Chain>, arrival: Arrival) -> (String, Result<Reply>) {
+    if !arrival.headers.contains_key(IDEMPOTENCY_KEY) {
+        return chain.run(arrival).await;
+    }
+    let chain = chain.clone();
+    let run = actix_rt::spawn(async move { chain.run(arrival).await });
+    let broken = |_| (String::new(), Err(Error::new(Kind::Internal, "the request was dropped")));
+    run.await.unwrap_or_else(broken)
+}
+
 fn respond(answer: Answer) -> HttpResponse {
     let status = actix_web::http::StatusCode::from_u16(answer.status);
     let status = status.unwrap_or(actix_web::http::StatusCode::BAD_GATEWAY);
--- a/src/filter/arrival.rs
+++ b/src/filter/arrival.rs
@@ -22,6 +22,14 @@
 }
 
 impl Arrival {
+    /// Path and query.
+    pub fn target(&self) -> String {
+        match self.query.is_empty() {
+            true => self.path.clone(),
+            false => format!("{}?{}", self.path, self.query),
+        }
+    }
+
     /// The only value of a header; `Malformed` when it comes twice or holds
     /// anything but visible characters and spaces.
     pub fn header(&self, name: &str) -> Result<Option<&str>> {
--- a/src/filter/chain.rs
+++ b/src/filter/chain.rs
@@ -18,6 +18,7 @@
 use crate::context::Context;
 use crate::error::{Error, Kind, Result};
 use crate::id::Organisation;
+use crate::route::Router;
 use crate::upstream::Client;
 
 /// What the filters use; one for each traffic thread.
@@ -29,6 +30,8 @@
     pub gate: Arc<dyn Gate>,
     /// Fair queues.
     pub line: Arc<dyn Line>,
+    /// Choice of upstream, retry budgets and quarantine.
+    pub router: Arc<Router>,
     /// Calls to upstreams.
     pub client: Rc<dyn Client>,
     /// Claims on requests that run at most once; none refuses
@@ -56,11 +59,11 @@
             Box::new(Parse::new(services.clone())),
             Box::new(Identify::new(services.clone())),
             Box::new(Route::new(services.clone())),
-            Box::new(Quarantine),
+            Box::new(Quarantine::new(services.clone())),
             Box::new(Rate::new(services.clone())),
             Box::new(Claim::new(services.clone())),
             Box::new(Queue::new(services.clone())),
-            Box::new(Send::new(services.clone())),
+            Box::new(Send),
             Box::new(Relay::new(services.clone())),
         ];
         Self { services, filters }
--- a/src/filter/claim.rs
+++ b/src/filter/claim.rs
@@ -57,7 +57,7 @@
     fn undo<'a>(&'a self, exchange: &'a Exchange, _: &'a Error) -> LocalBoxFuture<'a, ()> {
         Box::pin(async move {
             let (Some(key), Ok(claims)) = (&exchange.claim, self.claims()) else { return };
-            if !exchange.sent {
+            if !exchange.sent() {
                 // A claim that can't be released only makes the resend "unknown".
                 let _ = claims.release(key.clone()).await;
             }
--- a/src/filter/exchange.rs
+++ b/src/filter/exchange.rs
@@ -6,7 +6,7 @@
 use bytes::Bytes;
 use futures_util::Stream;
 
-use super::send::Dispatch;
+use super::send::{Dispatch, Flight};
 use super::{Arrival, Prompt};
 use crate::admission::Permit;
 use crate::claim::{self, Answer};
@@ -14,6 +14,7 @@
 use crate::config::resource::{Route, Serves};
 use crate::error::{Error, Kind, Result};
 use crate::id::Organisation;
+use crate::route::{Fingerprint, Guard};
 use crate::upstream::Parts;
 use crate::view::{Digest, View};
 
@@ -25,10 +26,20 @@
     Stream(Pin<Box<dyn Stream<Item = Result<Bytes>>>>),
 }
 
-/// A running attempt at an upstream.
-pub struct Attempt {
+/// Leave to run a request at an upstream.
+pub struct Slot {
     /// Slot at the upstream, held until the answer is whole.
     pub permit: Permit,
+    /// Leave to run, for a request that might crash upstreams.
+    pub guard: Guard,
+}
+
+/// A running attempt at an upstream.
+pub struct Attempt {
+    /// Where it may run.
+    pub slot: Slot,
+    /// Counts it at its upstream.
+    pub flight: Flight,
     /// Identifier that the answer carries.
     pub request: String,
     /// Status of the answer.
@@ -39,6 +50,13 @@
     pub parts: Parts,
 }
 
+impl Attempt {
+    /// Gives the attempt up, which cancels it upstream.
+    pub fn stop(self) -> Slot {
+        self.slot
+    }
+}
+
 /// What the filters know of a request.
 pub struct Exchange {
     /// As it came.
@@ -61,6 +79,8 @@
     pub organisation: Option<Organisation>,
     /// Route that it takes.
     pub route: Option<Route>,
+    /// What it is known by if it crashes upstreams.
+    pub print: Option<Fingerprint>,
     /// What must serve it.
     pub serves: Option<Serves>,
     /// What an engine's request asks for.
@@ -68,13 +88,11 @@
     /// Claim granted to it.
     pub claim: Option<claim::Key>,
     /// Slot that it got.
-    pub permit: Option<Permit>,
+    pub slot: Option<Slot>,
     /// Attempt that answers.
     pub attempt: Option<Attempt>,
     /// Sends it again.
     pub dispatch: Option<Dispatch>,
-    /// Whether any byte of it went to an upstream.
-    pub sent: bool,
     /// What the caller gets.
     pub reply: Option<Reply>,
 }
@@ -93,13 +111,13 @@
             digest: None,
             organisation: None,
             route: None,
+            print: None,
             serves: None,
             prompt: None,
             claim: None,
-            permit: None,
+            slot: None,
             attempt: None,
             dispatch: None,
-            sent: false,
             reply: None,
         }
     }
@@ -114,6 +132,17 @@
         self.serves.as_ref().ok_or_else(|| missing("target"))
     }
 
+    /// What the request is known by.
+    pub fn print(&self) -> Fingerprint {
+        let compute = || Fingerprint::of(&self.arrival.target(), &self.arrival.body);
+        self.print.unwrap_or_else(compute)
+    }
+
+    /// Whether any byte of it may have reached an upstream.
+    pub fn sent(&self) -> bool {
+        self.dispatch.as_ref().is_some_and(Dispatch::sent)
+    }
+
     /// The deadline that the route filter set.
     pub fn deadline(&self) -> Result<Time> {
         self.deadline.ok_or_else(|| missing("deadline"))
--- a/src/filter/quarantine.rs
+++ b/src/filter/quarantine.rs
@@ -1,15 +1,32 @@
-//! Refuses requests that have crashed upstreams before.
+//! Gives requests that crash upstreams their final answer at once.
+
+use std::rc::Rc;
 
 use futures_util::future::LocalBoxFuture;
 
-use super::{Exchange, Filter};
+use super::{Exchange, Filter, Services};
 use crate::error::Result;
+use crate::route::Fingerprint;
 
 /// Meets quarantined requests.
-pub struct Quarantine;
+pub struct Quarantine {
+    services: Rc<Services>,
+}
+
+impl Quarantine {
+    /// Makes the filter.
+    pub fn new(services: Rc<Services>) -> Self {
+        Self { services }
+    }
+}
 
 impl Filter for Quarantine {
-    fn apply<'a>(&'a self, _: &'a mut Exchange) -> LocalBoxFuture<'a, Result<()>> {
-        Box::pin(async { Ok(()) })
+    fn apply<'a>(&'a self, exchange: &'a mut Exchange) -> LocalBoxFuture<'a, Result<()>> {
+        Box::pin(async move {
+            let arrival = &exchange.arrival;
+            let print = Fingerprint::of(&arrival.target(), &arrival.body);
+            exchange.print = Some(print);
+            self.services.router.quarantine.check(print)
+        })
     }
 }
--- a/src/filter/queue.rs
+++ b/src/filter/queue.rs
@@ -4,6 +4,7 @@
 
 use futures_util::future::LocalBoxFuture;
 
+use super::send::Dispatch;
 use super::{Exchange, Filter, Services};
 use crate::admission::Ticket;
 use crate::error::{Error, Kind, Result};
@@ -24,14 +25,16 @@
     fn apply<'a>(&'a self, exchange: &'a mut Exchange) -> LocalBoxFuture<'a, Result<()>> {
         Box::pin(async move {
             let ticket = ticket(exchange)?;
-            exchange.permit = Some(self.services.line.enter(ticket).await?);
+            let mut dispatch = Dispatch::new(self.services.clone(), exchange, ticket)?;
+            exchange.slot = Some(dispatch.enter().await?);
+            exchange.dispatch = Some(dispatch);
             Ok(())
         })
     }
 }
 
 /// What a request asks of the line.
-pub fn ticket(exchange: &Exchange) -> Result<Ticket> {
+fn ticket(exchange: &Exchange) -> Result<Ticket> {
     let organisation = exchange.organisation.clone();
     Ok(Ticket {
         organisation: organisation.ok_or_else(|| Error::new(Kind::Internal, "nobody asks"))?,
--- a/src/filter/rate.rs
+++ b/src/filter/rate.rs
@@ -38,7 +38,7 @@
             if *organisation == open_organisation() {
                 return;
             }
-            if !exchange.sent && error.answer().run == Run::NotRun {
+            if !exchange.sent() && error.answer().run == Run::NotRun {
                 self.services.gate.give_back(organisation);
             }
         })
--- a/src/filter/relay.rs
+++ b/src/filter/relay.rs
@@ -38,7 +38,7 @@
     }
 
     async fn relay(&self, exchange: &mut Exchange) -> Result<()> {
-        let (Some(attempt), Some(dispatch)) = (exchange.attempt.take(), exchange.dispatch.take())
+        let (Some(attempt), Some(dispatch)) = (exchange.attempt.take(), &mut exchange.dispatch)
         else {
             return Err(Error::new(Kind::Internal, "nothing was sent"));
         };
@@ -50,6 +50,7 @@
             exchange.reply = Some(Reply::Whole(answer));
             return Ok(());
         }
+        let Some(dispatch) = exchange.dispatch.take() else { return Ok(()) };
         let (sender, receiver) = mpsc::channel(EVENT_QUEUE);
         let request = exchange.request.clone();
         actix_rt::spawn(Course { dispatch, request, sender, kept, body: Vec::new() }.run(attempt));
@@ -81,17 +82,17 @@
     }
 }
 
-async fn whole(attempt: Attempt, mut dispatch: Dispatch) -> Result<Answer> {
+async fn whole(attempt: Attempt, dispatch: &mut Dispatch) -> Result<Answer> {
     let mut attempt = attempt;
     loop {
         match collect(&mut attempt).await {
             Ok(body) => {
-                let Attempt { status, content_type, .. } = attempt;
+                let Attempt { slot, status, content_type, .. } = attempt;
+                dispatch.succeeded(slot);
                 return Ok(Answer { status, content_type, body });
             }
-            Err(failure) => dispatch.failed(attempt.permit.upstream.clone(), failure)?,
+            Err(failure) => dispatch.failed(attempt.stop(), failure).await?,
         }
-        drop(attempt);
         attempt = dispatch.next(None, 0).await?;
     }
 }
@@ -146,11 +147,13 @@
         loop {
             assembly.begin(attempt.request.clone());
             let failure = match self.follow(&mut attempt, &mut assembly).await? {
-                None => return Ok(()),
+                None => {
+                    self.dispatch.succeeded(attempt.slot);
+                    return Ok(());
+                }
                 Some(failure) => failure,
             };
-            self.dispatch.failed(attempt.permit.upstream.clone(), failure)?;
-            drop(attempt);
+            self.dispatch.failed(attempt.stop(), failure).await?;
             attempt = self.dispatch.next(None, assembly.next()).await?;
             if attempt.status != 200 {
                 return Err(broken());
--- a/src/filter/send.rs
+++ b/src/filter/send.rs
@@ -5,189 +5,206 @@
 //! send, since the request may have waited.
 
 use std::rc::Rc;
+use std::sync::Arc;
 
 use futures_util::future::LocalBoxFuture;
 
-use super::exchange::Attempt;
+use super::exchange::{Attempt, Slot};
 use super::identify::check;
-use super::queue::ticket;
 use super::{Exchange, Filter, Services};
-use crate::admission::{Permit, Ticket};
-use crate::error::{Error, Kind, Result, Run};
+use crate::admission::Ticket;
+use crate::emit;
+use crate::error::{Error, Kind, Result};
+use crate::event::Event;
+use crate::id;
+use crate::route::{Balance, Course, Fingerprint};
 use crate::upstream::{Call, Failure, Part};
 use crate::view::{Digest, State, Upstream};
 
-/// Most attempts of one request, whatever the budgets say.
-const MAX_ATTEMPTS: u32 = 4;
-
 /// Sends requests.
-pub struct Send {
-    services: Rc<Services>,
-}
-
-impl Send {
-    /// Makes the filter.
-    pub fn new(services: Rc<Services>) -> Self {
-        Self { services }
-    }
-}
+pub struct Send;
 
 impl Filter for Send {
     fn apply<'a>(&'a self, exchange: &'a mut Exchange) -> LocalBoxFuture<'a, Result<()>> {
         Box::pin(async move {
-            let mut dispatch = Dispatch::new(self.services.clone(), exchange)?;
-            let permit = exchange.permit.take();
-            let attempt = dispatch.next(permit, 0).await;
-            exchange.sent = dispatch.sent;
-            exchange.attempt = Some(attempt?);
-            exchange.dispatch = Some(dispatch);
+            let slot = exchange.slot.take();
+            let Some(dispatch) = exchange.dispatch.as_mut() else {
+                return Err(Error::new(Kind::Internal, "nothing to send"));
+            };
+            exchange.attempt = Some(dispatch.next(slot, 0).await?);
             Ok(())
         })
     }
 }
 
+/// Counts a send at its upstream until it is dropped.
+pub struct Flight {
+    balance: Arc<Balance>,
+    upstream: id::Upstream,
+}
+
+impl Flight {
+    fn start(balance: &Arc<Balance>, upstream: &id::Upstream) -> Self {
+        balance.started(upstream);
+        Self { balance: balance.clone(), upstream: upstream.clone() }
+    }
+}
+
+impl Drop for Flight {
+    fn drop(&mut self) {
+        self.balance.ended(&self.upstream);
+    }
+}
+
 /// Sends one request, again where that is allowed.
 pub struct Dispatch {
     services: Rc<Services>,
     ticket: Ticket,
     call: Call,
     digest: Option<Digest>,
-    idempotent: bool,
-    attempts: u32,
-    sent: bool,
+    print: Fingerprint,
+    course: Course,
 }
 
 impl Dispatch {
-    fn new(services: Rc<Services>, exchange: &Exchange) -> Result<Self> {
+    /// Prepares a request that has passed all filters before the queue.
+    pub fn new(services: Rc<Services>, exchange: &Exchange, ticket: Ticket) -> Result<Self> {
         let arrival = &exchange.arrival;
-        let path = match arrival.query.is_empty() {
-            true => arrival.path.clone(),
-            false => format!("{}?{}", arrival.path, arrival.query),
-        };
         let content_type = arrival.header("content-type")?.unwrap_or("application/json").into();
+        let print = exchange.print();
         let call = Call {
             request: String::new(),
-            path,
+            path: arrival.target(),
             content_type,
             body: arrival.body.clone(),
-            deadline: exchange.deadline()?,
+            deadline: ticket.deadline,
             traceparent: exchange.traceparent.clone(),
             resume_from: 0,
         };
         // A key on an open route decides nothing, so its withdrawal neither.
-        let digest = exchange.digest.filter(|_| exchange.route().is_ok_and(|route| !route.open));
-        Ok(Self {
-            services,
-            ticket: ticket(exchange)?,
-            call,
-            digest,
-            idempotent: exchange.route()?.idempotent,
-            attempts: 0,
-            sent: false,
-        })
+        let route = exchange.route()?;
+        let digest = exchange.digest.filter(|_| !route.open);
+        let course = Course::new(route.idempotent, ticket.deadline);
+        Ok(Self { services, ticket, call, digest, print, course })
     }
 
     /// Whether any byte may have reached an upstream.
     pub fn sent(&self) -> bool {
-        self.sent
+        self.course.sent()
     }
 
     /// Fails once the key is withdrawn, contact lost or the deadline past.
     pub fn check(&self) -> Result<()> {
-        let now = self.services.context.clock.now();
-        if self.call.deadline.passed(now) {
-            let kind = if self.sent { Kind::DeadlineExceeded } else { Kind::Overloaded };
-            return Err(Error::new(kind, "the deadline passed"));
-        }
+        self.course.check(self.services.context.clock.now())?;
         let Some(digest) = &self.digest else { return Ok(()) };
-        check(&self.services.context, digest).map_err(|error| self.final_error(error)).map(|_| ())
+        let checked = check(&self.services.context, digest);
+        checked.map(|_| ()).map_err(|error| self.course.refuse(error))
+    }
+
+    /// Waits until the request may run, then for a slot at an upstream.
+    pub async fn enter(&mut self) -> Result<Slot> {
+        let entered = self.enter_once().await;
+        entered.map_err(|error| self.course.refuse(error))
+    }
+
+    async fn enter_once(&mut self) -> Result<Slot> {
+        let quarantine = &self.services.router.quarantine;
+        let guard = quarantine.begin(self.print, self.ticket.deadline).await?;
+        self.ticket.alone = guard.alone();
+        let permit = self.services.line.enter(self.ticket.clone()).await?;
+        Ok(Slot { guard, permit })
     }
 
     /// Sends until an upstream begins to answer.
-    pub async fn next(&mut self, permit: Option<Permit>, resume_from: u32) -> Result<Attempt> {
-        let mut permit = permit;
+    pub async fn next(&mut self, slot: Option<Slot>, resume_from: u32) -> Result<Attempt> {
+        let mut slot = slot;
         loop {
-            let granted = match permit.take() {
-                Some(permit) => permit,
+            let taken = match slot.take() {
+                Some(slot) => slot,
                 None => self.enter().await?,
             };
             self.check()?;
-            let Some(upstream) = self.upstream(&granted) else {
-                self.ticket.excluded.push(granted.upstream.clone());
+            let Some(upstream) = self.upstream(&taken.permit.upstream) else {
+                self.ticket.excluded.push(taken.permit.upstream.clone());
                 continue;
             };
-            match self.send(granted, &upstream, resume_from).await {
-                Ok(attempt) => return Ok(attempt),
-                Err(failure) => self.failed(upstream.name, failure)?,
+            match self.send(&taken, &upstream, resume_from).await? {
+                Ok((request, flight, status, content_type, parts)) => {
+                    let slot = taken;
+                    return Ok(Attempt { slot, flight, request, status, content_type, parts });
+                }
+                Err(failure) => self.failed(taken, failure).await?,
             }
         }
     }
 
-    async fn enter(&self) -> Result<Permit> {
-        let entered = self.services.line.enter(self.ticket.clone()).await;
-        entered.map_err(|error| self.final_error(error))
-    }
-
     /// The upstream as it stands now, unless it takes nothing new.
-    fn upstream(&self, permit: &Permit) -> Option<Upstream> {
+    fn upstream(&self, name: &id::Upstream) -> Option<Upstream> {
         let view = self.services.context.shared.load();
-        let upstream = view.upstreams.get(&permit.upstream)?;
+        let upstream = view.upstreams.get(name)?;
         (upstream.state == State::Live).then(|| upstream.clone())
     }
 
     async fn send(
         &mut self,
-        permit: Permit,
+        slot: &Slot,
         upstream: &Upstream,
         resume_from: u32,
-    ) -> std::result::Result<Attempt, Failure> {
-        self.attempts += 1;
+    ) -> Result<std::result::Result<Begun, Failure>> {
+        let now = self.services.context.clock.now();
+        if !self.course.sent() {
+            self.services.router.deposit(&self.ticket.organisation, &upstream.name, now);
+        }
         let mut call = self.call.clone();
         // Fresh for each attempt: an identifier of the caller's could meet
         // another caller's, or hold its key.
         call.request = format!("{:032x}", rand::random::<u128>());
         call.resume_from = resume_from;
         let request = call.request.clone();
-        let before = std::mem::replace(&mut self.sent, true);
+        let flight = Flight::start(&self.services.router.balance, &slot.permit.upstream);
+        self.course.send(now)?;
         let mut parts = self.services.client.send(upstream, call).await;
-        match parts.recv().await {
+        Ok(match parts.recv().await {
             Some(Ok(Part::Head { status, content_type })) => {
-                Ok(Attempt { permit, request, status, content_type, parts })
-            }
-            Some(Err(Failure::NotSent(error))) => {
-                self.sent = before;
-                Err(Failure::NotSent(error))
+                Ok((request, flight, status, content_type, parts))
             }
             Some(Err(failure)) => Err(failure),
             Some(Ok(_)) | None => Err(Failure::Sent(broken())),
-        }
+        })
     }
 
     /// Takes note of a failed attempt; fails when there may be no other.
-    pub fn failed(&mut self, upstream: crate::id::Upstream, failure: Failure) -> Result<()> {
-        self.ticket.excluded.push(upstream);
-        let (error, repeatable) = match failure {
-            Failure::NotSent(error) => (error, true),
-            Failure::Sent(error) => (error, self.idempotent),
-        };
-        let late = error.kind == Kind::DeadlineExceeded;
-        if late || !repeatable || self.attempts >= MAX_ATTEMPTS {
-            return Err(self.final_error(error));
+    pub async fn failed(&mut self, slot: Slot, failure: Failure) -> Result<()> {
+        let Slot { guard, permit } = slot;
+        let upstream = permit.upstream.clone();
+        drop(permit);
+        let now = self.services.context.clock.now();
+        let balance = &self.services.router.balance;
+        match &failure {
+            Failure::NotSent(_) => balance.lost(&upstream, now),
+            Failure::Sent(_) if failure.broke_off() => {
+                emit!(self.services.context.log, Event::UpstreamDied,
+                    "upstream" => upstream.to_string());
+                balance.lost(&upstream, now);
+                guard.died().await;
+            }
+            Failure::Sent(_) => balance.failed(&upstream, now),
         }
-        Ok(())
+        self.ticket.excluded.push(upstream.clone());
+        let (router, organisation) = (&self.services.router, &self.ticket.organisation);
+        self.course.failed(failure, now, || router.withdraw(organisation, &upstream, now))
     }
 
-    /// What the caller is told: never "not run" once anything was sent.
-    pub fn final_error(&self, error: Error) -> Error {
-        match error.answer().run {
-            Run::NotRun if self.sent => {
-                Error::new(Kind::OutcomeUnknown, format!("sent before: {}", error.detail))
-            }
-            _ => error,
-        }
+    /// Takes note of a whole answer.
+    pub fn succeeded(&self, slot: Slot) {
+        let now = self.services.context.clock.now();
+        self.services.router.balance.succeeded(&slot.permit.upstream, now);
+        slot.guard.whole();
     }
 }
 
+type Begun = (String, Flight, u16, String, crate::upstream::Parts);
+
 /// An answer that ended before it was whole.
 pub fn broken() -> Error {
     Error::new(Kind::OutcomeUnknown, "the upstream's answer broke off")
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -21,6 +21,7 @@
 pub mod log;
 pub mod node;
 pub mod platform;
+pub mod route;
 pub mod segment;
 pub mod settings;
 pub mod stream;
--- a/src/node/callers.rs
+++ b/src/node/callers.rs
@@ -7,13 +7,12 @@
 use actix_web::dev::ServerHandle;
 use actix_web::{App, HttpServer, web};
 
-use crate::admission::{Gate, Line, Pick, Ticket};
+use crate::admission::{Gate, Line};
 use crate::api::{caller, entries};
-use crate::clock::Time;
 use crate::context::Context;
 use crate::error::{Error, Kind, Result};
 use crate::filter::{Chain, Services};
-use crate::id;
+use crate::route::Router;
 use crate::settings;
 use crate::upstream;
 
@@ -26,6 +25,8 @@
     pub gate: Arc<dyn Gate>,
     /// Fair queues.
     pub line: Arc<dyn Line>,
+    /// Choice of upstream.
+    pub router: Arc<Router>,
 }
 
 impl Traffic {
@@ -56,17 +57,9 @@
             context: self.context.clone(),
             gate: self.gate.clone(),
             line: self.line.clone(),
+            router: self.router.clone(),
             client: Rc::new(upstream::Http::new(self.context.clock.clone())),
             claims: None,
         }
     }
 }
-
-/// Takes the first upstream that has room.
-pub(super) struct First;
-
-impl Pick for First {
-    fn pick(&self, _ticket: &Ticket, free: &[id::Upstream], _now: Time) -> Option<id::Upstream> {
-        free.first().cloned()
-    }
-}
--- a/src/node/entry.rs
+++ b/src/node/entry.rs
@@ -5,6 +5,7 @@
 //! threads of two HTTP servers.
 
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::sync::Arc;
 
 use actix_rt::Arbiter;
@@ -12,7 +13,7 @@
 use actix_web::web;
 use slog::{Logger, o};
 
-use super::callers::{First, Traffic};
+use super::callers::Traffic;
 use super::{Listener, pages};
 use crate::admission::queue::Fair;
 use crate::admission::share::Equal;
@@ -23,9 +24,10 @@
 use crate::emit;
 use crate::error::Result;
 use crate::event::Event;
+use crate::route::Router;
 use crate::settings;
 use crate::view::Shared;
-use crate::wire::{Areas, Pool};
+use crate::wire::{Areas, Handler, Pool};
 
 /// A running entry VM.
 pub struct Node {
@@ -54,10 +56,11 @@
 
     let control = Arbiter::new();
     let (handle, commands) = control::channel();
-    start_control(&control, context.clone(), settings.clone(), peer.socket, commands);
+    let router = Router::new(context.clone(), rand::random());
+    start_control(&control, router.clone(), settings.clone(), peer.socket, commands);
     let resources = resources(&settings, &handle);
     let servers = vec![
-        traffic(&context).serve(&settings, caller.socket)?,
+        traffic(&context, router).serve(&settings, caller.socket)?,
         pages::serve(&context, operator.socket, resources)?,
     ];
     emit!(context.log, Event::Started,
@@ -98,13 +101,16 @@
 
 fn start_control(
     control: &Arbiter,
-    context: Context,
+    router: Arc<Router>,
     settings: settings::Entry,
     peer: std::net::TcpListener,
     commands: control::Commands,
 ) {
     control.spawn_fn(move || {
-        let areas = Areas::default();
+        let context = router.context().clone();
+        let online: Rc<dyn Handler> = Rc::new(router.quarantine.clone());
+        let areas = Areas { online: Some(online), ..Areas::default() };
+        actix_rt::spawn(router.run());
         let platform = control::Platform::from(&settings.platform);
         control::start(context.clone(), (&settings).into(), platform, commands);
         actix_rt::spawn(super::peers::serve(context, settings.fleet_secret, areas, peer));
@@ -123,10 +129,11 @@
     }
 }
 
-fn traffic(context: &Context) -> Traffic {
+fn traffic(context: &Context, router: Arc<Router>) -> Traffic {
     Traffic {
         context: context.clone(),
         gate: Arc::new(Equal::new(context.clone())),
-        line: Arc::new(Fair::new(context.clone(), Arc::new(First))),
+        line: Arc::new(Fair::new(context.clone(), router.balance.clone())),
+        router,
     }
 }
--- /dev/null
+++ b/src/route/baseline.rs
@@ -0,0 +1,50 @@
+//! Choices to measure `Balance` against.
+
+use std::sync::atomic::{AtomicUsize, Ordering};
+
+use parking_lot::Mutex;
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+use crate::admission::{Pick, Ticket};
+use crate::clock::Time;
+use crate::id::Upstream;
+
+/// Any upstream with room.
+#[derive(Debug)]
+pub struct Random {
+    generator: Mutex<ChaCha8Rng>,
+}
+
+impl Random {
+    /// Chooses by a generator of this seed.
+    pub fn new(seed: u64) -> Self {
+        Self { generator: Mutex::new(ChaCha8Rng::seed_from_u64(seed)) }
+    }
+}
+
+impl Pick for Random {
+    fn pick(&self, _: &Ticket, free: &[Upstream], _: Time) -> Option<Upstream> {
+        if free.is_empty() {
+            return None;
+        }
+        let index = self.generator.lock().random_range(0..free.len());
+        Some(free[index].clone())
+    }
+}
+
+/// One upstream after the other.
+#[derive(Debug, Default)]
+pub struct RoundRobin {
+    next: AtomicUsize,
+}
+
+impl Pick for RoundRobin {
+    fn pick(&self, _: &Ticket, free: &[Upstream], _: Time) -> Option<Upstream> {
+        if free.is_empty() {
+            return None;
+        }
+        let index = self.next.fetch_add(1, Ordering::Relaxed) % free.len();
+        Some(free[index].clone())
+    }
+}
--- /dev/null
+++ b/src/route/mod.rs
@@ -0,0 +1,31 @@
+//! Where a request goes: choice of upstream, ejection, prefix affinity,
+//! retries and the quarantine of requests that crash upstreams.
+//!
+//! `Course`, `Budget`, `Poison`, `Health`, `Affinity` and `Balance` decide and
+//! assert their invariants; `Quarantine` and `poll` bring them the fleet's
+//! messages. `simulate` drives the same decisions at random.
+
+mod affinity;
+mod balance;
+mod baseline;
+mod budget;
+mod course;
+mod health;
+mod load;
+mod poison;
+mod poll;
+mod quarantine;
+mod router;
+mod subset;
+
+pub use affinity::{Affinity, CacheEvent, CacheKind};
+pub use balance::Balance;
+pub use baseline::{Random, RoundRobin};
+pub use budget::Budget;
+pub use course::Course;
+pub use health::Health;
+pub use load::{Load, Report};
+pub use poison::{Fingerprint, LOSS_LIMIT, Outcome, Poison, Run, Verdict};
+pub use quarantine::{Guard, Quarantine};
+pub use router::Router;
+pub use subset::subset;
--- /dev/null
+++ b/src/route/poll.rs
@@ -0,0 +1,96 @@
+//! Asks engines for their load and cache events.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use futures_util::StreamExt;
+use serde::Deserialize;
+use serde::de::DeserializeOwned;
+
+use super::{Balance, CacheEvent, CacheKind, Report, subset};
+use crate::clock::Time;
+use crate::config::resource::Serves;
+use crate::context::Context;
+use crate::id;
+use crate::view::{State, Upstream, View};
+
+/// Pause between two rounds.
+const PERIOD: Duration = Duration::from_millis(500);
+/// Bound on one question.
+const TIMEOUT: Duration = Duration::from_millis(300);
+/// Questions under way at once.
+const CONCURRENCY: usize = 8;
+/// Engines that one VM asks.
+const SUBSET: usize = 32;
+/// Largest answer that is read, in bytes.
+const MAX_BYTES: usize = 1 << 20;
+
+#[derive(Deserialize)]
+struct LoadAnswer {
+    running: u32,
+    waiting: u32,
+    #[serde(default)]
+    age_ms: u64,
+}
+
+#[derive(Deserialize)]
+struct CacheAnswer {
+    events: Vec<EventAnswer>,
+}
+
+#[derive(Deserialize)]
+struct EventAnswer {
+    sequence: u64,
+    kind: CacheKind,
+    prefix: String,
+}
+
+/// Asks for as long as the process runs.
+pub(super) async fn run(context: Context, balance: Arc<Balance>) {
+    let client = awc::Client::builder().timeout(TIMEOUT).disable_redirects().finish();
+    loop {
+        let view = context.shared.load();
+        balance.retain(|upstream| view.upstreams.contains_key(upstream));
+        let engines = engines(&context, &view);
+        futures_util::stream::iter(engines)
+            .for_each_concurrent(CONCURRENCY, |engine| ask(&context, &balance, &client, engine))
+            .await;
+        tokio::time::sleep(PERIOD).await;
+    }
+}
+
+fn engines(context: &Context, view: &View) -> Vec<Upstream> {
+    let engine = |upstream: &&Upstream| {
+        upstream.state == State::Live && matches!(upstream.spec.serves, Serves::Model(_))
+    };
+    let names: Vec<id::Upstream> =
+        view.upstreams.values().filter(engine).map(|upstream| upstream.name.clone()).collect();
+    let used = subset(&context.vm, &names, SUBSET);
+    used.into_iter().filter_map(|name| view.upstreams.get(name).cloned()).collect()
+}
+
+async fn ask(context: &Context, balance: &Balance, client: &awc::Client, engine: Upstream) {
+    let load: Option<LoadAnswer> = get(client, &engine, "/v1/load").await;
+    let Some(load) = load else { return };
+    let now = context.clock.now();
+    let at = Time(now.0.saturating_sub(load.age_ms.saturating_mul(1_000)));
+    balance.report(&engine.name, Report { running: load.running, waiting: load.waiting, at });
+    let after = balance.cache_sequence(&engine.name);
+    let path = format!("/v1/cache/events?after={after}");
+    let Some(cache) = get::<CacheAnswer>(client, &engine, &path).await else { return };
+    for event in cache.events {
+        let Ok(prefix) = u64::from_str_radix(&event.prefix, 16) else { continue };
+        let event = CacheEvent { sequence: event.sequence, kind: event.kind, prefix };
+        balance.cache(&engine.name, event);
+    }
+}
+
+async fn get<T>(client: &awc::Client, engine: &Upstream, path: &str) -> Option<T>
+where
+    T: DeserializeOwned,
+{
+    let request = client.get(format!("http://{}{path}", engine.spec.address));
+    let mut answer = request.send().await.ok()?;
+    let bytes = answer.body().limit(MAX_BYTES).await.ok()?;
+    serde_json::from_slice(&bytes).ok()
+}
--- a/src/stream/assembly.rs
+++ b/src/stream/assembly.rs
@@ -71,6 +71,7 @@
         if position > u64::from(self.next) {
             return Step::Break(crossed("a token is missing"));
         }
+        assert!(position == u64::from(self.next), "a token out of order");
         self.next += 1;
         fields.insert("id".into(), Value::from(self.request.as_str()));
         Step::Forward(format!("data: {}\n\n", Value::Object(fields)).into())
@@ -85,5 +86,5 @@
 }
 
 fn crossed(detail: &str) -> Error {
-    Error::new(Kind::OutcomeUnknown, detail)
+    Error::new(Kind::UpstreamFailed, detail)
 }
--- a/src/upstream/http.rs
+++ b/src/upstream/http.rs
@@ -22,6 +22,9 @@
 
 /// Bound on connecting.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
+/// How long an idle connection is kept: less than servers' customary five
+/// seconds, so that a request seldom meets one that is being closed.
+const KEEP_ALIVE: Duration = Duration::from_secs(4);
 /// Connections to one upstream from one thread, above any capacity in use.
 const CONNECTIONS: usize = 1_024;
 /// Parts that may wait to be taken.
@@ -43,7 +46,10 @@
 impl Http {
     /// Makes a client with its own connections.
     pub fn new(clock: std::sync::Arc<dyn Clock>) -> Self {
-        let connector = Connector::new().timeout(CONNECT_TIMEOUT).limit(CONNECTIONS);
+        let connector = Connector::new()
+            .timeout(CONNECT_TIMEOUT)
+            .conn_keep_alive(KEEP_ALIVE)
+            .limit(CONNECTIONS);
         // A redirect would send the request a second time.
         let client = awc::Client::builder()
             .connector(connector)
@@ -96,7 +102,7 @@
     let response = request.send_body(body).await.map_err(|error| failure(&error))?;
     let named = response.headers().get(REQUEST_ID).and_then(|value| value.to_str().ok());
     if named != Some(call.request.as_str()) {
-        return Err(sent("the answer belongs to another request"));
+        return Err(wrong("the answer belongs to another request"));
     }
     read(response, sender).await
 }
@@ -137,7 +143,7 @@
             continue;
         }
         if !split.push(&chunk) {
-            return Err(sent("an event is too large"));
+            return Err(wrong("an event is too large"));
         }
         while let Some(event) = split.take() {
             pass(sender, Part::Data(event)).await?;
@@ -171,7 +177,7 @@
         }
         self.body.extend_from_slice(chunk);
         match self.body.len() > MAX_CHECKED_BYTES {
-            true => Err(sent("an answer without a length is too large")),
+            true => Err(wrong("an answer without a length is too large")),
             false => Ok(()),
         }
     }
@@ -195,6 +201,12 @@
     sender.send(Ok(part)).await.map_err(|_| sent("nobody waits for the answer"))
 }
 
+/// An answer that came but can't be used.
+fn wrong(detail: &str) -> Failure {
+    Failure::Sent(Error::new(Kind::UpstreamFailed, detail))
+}
+
+/// An answer that broke off.
 fn sent<S>(detail: S) -> Failure
 where
     S: Into<String>,
--- a/src/upstream/mod.rs
+++ b/src/upstream/mod.rs
@@ -11,7 +11,7 @@
 use tokio::sync::mpsc;
 
 use crate::clock::Time;
-use crate::error::Error;
+use crate::error::{Error, Kind};
 use crate::id;
 
 /// A request as an upstream sees it.
@@ -58,6 +58,13 @@
     Sent(Error),
 }
 
+impl Failure {
+    /// Whether the upstream's answer broke off, as when it dies.
+    pub fn broke_off(&self) -> bool {
+        matches!(self, Failure::Sent(error) if error.kind == Kind::OutcomeUnknown)
+    }
+}
+
 /// A running call; dropping it cancels the call at the upstream.
 pub type Parts = mpsc::Receiver<Result<Part, Failure>>;
 
--- a/src/wire/online.rs
+++ b/src/wire/online.rs
@@ -1,10 +1,10 @@
-//! Messages about online requests: suspects, quarantine, upstream state.
+//! Messages about online requests: suspects and quarantine.
 
 /// A message of this area.
 #[derive(Clone, PartialEq, prost::Message)]
 pub struct Message {
     /// What is said.
-    #[prost(oneof = "Body", tags = "1")]
+    #[prost(oneof = "Body", tags = "1, 2, 3, 4, 5")]
     pub body: Option<Body>,
 }
 
@@ -14,4 +14,81 @@
     /// Nothing; an answer that only confirms.
     #[prost(message, tag = "1")]
     Done(()),
+    /// Asks the fingerprint's owner whether a request may run.
+    #[prost(message, tag = "2")]
+    Begin(Begin),
+    /// The owner's answer to `Begin`.
+    #[prost(enumeration = "Verdict", tag = "3")]
+    Verdict(i32),
+    /// Tells the owner how a run ended.
+    #[prost(message, tag = "4")]
+    End(End),
+    /// Tells all entry VMs how many upstreams a request has cost.
+    #[prost(message, tag = "5")]
+    Loss(Loss),
+}
+
+/// A request that wants to run.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct Begin {
+    /// Fingerprint, sixteen bytes.
+    #[prost(bytes = "vec", tag = "1")]
+    pub fingerprint: Vec<u8>,
+    /// Number of the run on the asking VM.
+    #[prost(fixed64, tag = "2")]
+    pub run: u64,
+    /// Microseconds until the run's deadline.
+    #[prost(uint64, tag = "3")]
+    pub left_micros: u64,
+}
+
+/// How a run ended.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct End {
+    /// Fingerprint, sixteen bytes.
+    #[prost(bytes = "vec", tag = "1")]
+    pub fingerprint: Vec<u8>,
+    /// Number of the run on the telling VM.
+    #[prost(fixed64, tag = "2")]
+    pub run: u64,
+    /// How it ended.
+    #[prost(enumeration = "Outcome", tag = "3")]
+    pub outcome: i32,
+}
+
+/// Upstreams that a request has cost.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct Loss {
+    /// Fingerprint, sixteen bytes.
+    #[prost(bytes = "vec", tag = "1")]
+    pub fingerprint: Vec<u8>,
+    /// How many.
+    #[prost(uint32, tag = "2")]
+    pub lost: u32,
+}
+
+/// Whether a request may run.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, prost::Enumeration)]
+#[repr(i32)]
+pub enum Verdict {
+    /// Later: another run of it must end first.
+    Wait = 0,
+    /// It may.
+    Run = 1,
+    /// Where nothing else runs.
+    Alone = 2,
+    /// Never again.
+    Quarantined = 3,
+}
+
+/// How a run ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, prost::Enumeration)]
+#[repr(i32)]
+pub enum Outcome {
+    /// Given up, not sent or answered wrongly.
+    Other = 0,
+    /// Its answer came whole.
+    Whole = 1,
+    /// Its upstream's answer broke off.
+    Died = 2,
 }
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -20,6 +20,7 @@
 use parsleybeam::error::{Error, Kind, Result};
 use parsleybeam::filter::{Chain, Services};
 use parsleybeam::id::{self, Organisation};
+use parsleybeam::route::Router;
 use parsleybeam::upstream::{Http, Room};
 use parsleybeam::view::{Digest, Shared, State, Upstream, View};
 use parsleybeam::wire::Pool;
@@ -294,6 +295,7 @@
     pub address: SocketAddr,
     pub context: Context,
     pub gate: Arc<OpenGate>,
+    pub router: Arc<Router>,
 }
 
 pub type MakeClaims = fn() -> Option<std::rc::Rc<dyn Claims>>;
@@ -301,7 +303,9 @@
 pub fn entry(view: View, claims: MakeClaims) -> Entry {
     let context = context(view);
     let gate = Arc::new(OpenGate::default());
-    let (inner, inner_gate) = (context.clone(), gate.clone());
+    let router = Router::new(context.clone(), 1);
+    actix_rt::spawn(router.quarantine.clone().run());
+    let (inner, inner_gate, inner_router) = (context.clone(), gate.clone(), router.clone());
     let server = HttpServer::new(move || {
         let clock: Arc<dyn Clock> = inner.clock.clone();
         let chain = Chain::new(Services {
@@ -309,6 +313,7 @@
             gate: inner_gate.clone(),
             line: Arc::new(FirstLine { shared: inner.shared.clone() }),
             client: std::rc::Rc::new(Http::new(clock)),
+            router: inner_router.clone(),
             claims: claims(),
         });
         App::new()
@@ -321,7 +326,7 @@
     .expect("bind");
     let address = server.addrs()[0];
     actix_rt::spawn(server.disable_signals().run());
-    Entry { address, context, gate }
+    Entry { address, context, gate, router }
 }
 
 pub fn no_claims() -> Option<std::rc::Rc<dyn Claims>> {
