Carry the trace context between peers

Cause: a request's trace ended at the entry VM. Ruled out: a span for every peer call; gossip belongs to no request, so frames without a context make none. After: a frame carries the caller's context and its handling is a span of that trace. Conclusion: the hops between VMs can be followed in the log.

--- a/src/wire/server.rs
+++ b/src/wire/server.rs
@@ -9,6 +9,7 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::mpsc;
 use tokio_util::codec::Framed;
+use tracing::{Instrument, Span};
 
 use super::proof::{Connection, Side, exchange};
 use super::{Body, Codec, Fault, Frame};
@@ -16,6 +17,7 @@
 use crate::error::Result;
 use crate::event::Event;
 use crate::id::Vm;
+use crate::trace;
 
 /// Bound on the mutual proof.
 const PROOF_TIMEOUT: Duration = Duration::from_secs(2);
@@ -90,14 +92,25 @@
         while let Some(Ok(frame)) = calls.next().await {
             let Some(body) = frame.body else { continue };
             let (handler, answers, peer) = (self.handler.clone(), answers.clone(), peer.clone());
-            actix_rt::spawn(async move {
+            let span = hop(&peer, &body, frame.traceparent.as_deref());
+            let answer = async move {
                 let body = match handler.handle(peer, body).await {
                     Ok(body) => body,
                     Err(error) => Body::Fault(Fault::from(&error)),
                 };
-                let _ =
-                    answers.send(Frame { call: frame.call, answer: true, body: Some(body) }).await;
-            });
+                let _ = answers.send(Frame::answer(frame.call, body)).await;
+            };
+            actix_rt::spawn(answer.instrument(span));
         }
     }
 }
+
+/// The span of a call that belongs to a trace; gossip belongs to none.
+fn hop(peer: &Peer, body: &Body, traceparent: Option<&str>) -> Span {
+    if traceparent.is_none() {
+        return Span::none();
+    }
+    let span = tracing::info_span!("peer", area = body.area(), caller = %peer.vm);
+    trace::adopt(&span, traceparent);
+    span
+}
