Add membership, contact and spread as one state machine

Cause: every VM followed the platform on its own and any outage stopped the fleet. Now a few hubs confirm the version, members pass it on with a deadline that only shrinks, and a majority stands in through an outage.

--- a/src/config/mod.rs
+++ b/src/config/mod.rs
@@ -9,7 +9,9 @@
 mod cache;
 mod stored;
 mod validate;
+mod write;
 
 pub use cache::{Adopted, Cache, Delta, Held, Item};
 pub use stored::{Address, Stored};
 pub use validate::{check, check_name, read_spec};
+pub use write::{Expected, Step, Write};
--- a/src/config/stored.rs
+++ b/src/config/stored.rs
@@ -29,6 +29,7 @@
 
 /// A stored value: the spec, or a tombstone once deleted.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
 pub struct Stored {
     /// Identifies the write, to settle one whose reply was lost.
     pub write: String,
--- a/src/control/command.rs
+++ b/src/control/command.rs
@@ -6,23 +6,11 @@
 use serde_json::Value;
 use tokio::sync::{mpsc, oneshot};
 
-use crate::config::Address;
 use crate::config::resource::{Kind, Spec};
+use crate::config::{Address, Expected};
 use crate::error::{self, Error, Result};
 use crate::view::State;
 
-key! {
-    /// What a write expects to replace.
-    pub enum Expected {
-        /// Whatever stands there.
-        Any,
-        /// Nothing: the resource must not exist.
-        Absent,
-        /// Exactly this version.
-        Version(u64),
-    }
-}
-
 /// A resource as operators read it.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Resource {
@@ -43,11 +31,12 @@
 /// What the system reports about a resource.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Status {
-    /// Whether the last write can no longer be lost or reverted.
-    #[serde(default)]
-    pub accepted: bool,
-    /// Configuration version that each VM was last heard to hold.
-    #[serde(default)]
+    /// Whether the last write can no longer be lost or reverted; told when a
+    /// single resource is read or written.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub accepted: Option<bool>,
+    /// Configuration version that each member was last known to hold.
+    #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
     pub in_force: BTreeMap<String, u64>,
 }
 
@@ -77,12 +66,13 @@
     Get { address: Address, reply: oneshot::Sender<Result<Resource>> },
     List { kind: Kind, reply: oneshot::Sender<(u64, Vec<Resource>)> },
     Watch { kind: Kind, from: u64, reply: oneshot::Sender<Result<Updates>> },
-    Write(Write),
+    Write(Order),
     State(State),
+    Leave(oneshot::Sender<Result<()>>),
 }
 
 /// A wanted write.
-pub(super) struct Write {
+pub(super) struct Order {
     pub(super) address: Address,
     pub(super) spec: Option<Spec>,
     pub(super) expected: Expected,
@@ -129,7 +119,7 @@
         spec: Option<Spec>,
         expected: Expected,
     ) -> Result<Written> {
-        self.ask(|reply| Command::Write(Write { address, spec, expected, reply })).await?
+        self.ask(|reply| Command::Write(Order { address, spec, expected, reply })).await?
     }
 
     /// Tells the fleet whether this VM takes new work.
@@ -137,6 +127,11 @@
         let _ = self.commands.send(Command::State(state));
     }
 
+    /// Says that this VM is gone for good; the last thing before it exits.
+    pub async fn leave(&self) -> Result<()> {
+        self.ask(Command::Leave).await?
+    }
+
     async fn ask<T, F>(&self, command: F) -> Result<T>
     where
         F: FnOnce(oneshot::Sender<T>) -> Command,
--- a/src/control/compose.rs
+++ b/src/control/compose.rs
@@ -1,6 +1,6 @@
 //! Building the view that traffic threads read.
 
-use std::collections::{BTreeMap, HashSet};
+use std::collections::{BTreeMap, BTreeSet};
 
 use crate::config::resource::Spec;
 use crate::config::{Address, Cache, Stored};
@@ -11,7 +11,7 @@
 const DIGEST_BYTES: usize = 32;
 
 /// Builds a view; upstreams whose name is in `leaving` take no new work.
-pub fn compose(cache: &Cache, members: BTreeMap<Vm, Member>, leaving: &HashSet<String>) -> View {
+pub fn compose(cache: &Cache, members: BTreeMap<Vm, Member>, leaving: &BTreeSet<String>) -> View {
     let mut view = View { version: cache.version(), members, ..View::default() };
     for (key, _, value) in cache.live() {
         let Some(address) = Address::from_key(key) else { continue };
@@ -23,7 +23,7 @@
     view
 }
 
-fn insert(view: &mut View, name: String, spec: Spec, leaving: &HashSet<String>) {
+fn insert(view: &mut View, name: String, spec: Spec, leaving: &BTreeSet<String>) {
     match spec {
         Spec::Organisation(spec) => {
             view.organisations.insert(name.into(), spec);
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -4,16 +4,20 @@
 //! follows the configuration, publishes `View` and keeps `Contact`. Other
 //! threads talk to it through a `Handle`.
 
+mod calls;
 mod command;
 mod compose;
+mod follow;
+mod handlers;
 mod register;
+mod serve;
 mod settings;
 mod shell;
 mod write;
 
-pub use command::{
-    Commands, Expected, Handle, Resource, Status, Update, Updates, Written, channel,
-};
+pub use crate::config::Expected;
+pub use command::{Commands, Handle, Resource, Status, Update, Updates, Written, channel};
 pub use compose::compose;
+pub use handlers::Handlers;
 pub use settings::{Platform, Settings};
 pub use shell::start;
--- a/src/control/write.rs
+++ b/src/control/write.rs
@@ -1,121 +1,82 @@
-//! Writing resources: one compare-and-swap, settled by a write identifier
-//! where its reply was lost.
+//! Writing resources for operators.
 
 use std::rc::Rc;
 use std::time::Duration;
 
-use rand::RngCore;
-
-use super::Expected;
-use super::command::Write;
-use crate::config::{Held, Stored};
+use super::command::{Order, Resource, Written};
+use super::register::fresh;
+use super::serve::plain;
+use super::shell::Shell;
+use crate::config::{Step, Write};
 use crate::error::{Error, Kind, Result};
-use crate::platform::{Entry, KeyValue, Swap, Swapped};
 
-/// Tries of a write that expects nothing in particular and meets others.
-const RACE_TRIES: usize = 8;
-/// Readings that try to settle a lost reply.
-const SETTLE_TRIES: usize = 5;
-/// Pause between such readings.
+/// Pause before a swap whose reply was lost is sent again.
 const SETTLE_PAUSE: Duration = Duration::from_millis(200);
+/// Time that an operator waits for acceptance before the answer says that the
+/// write is only stored.
+const ACCEPT_TIMEOUT: Duration = Duration::from_secs(2);
 
-/// Writes resources.
-pub(super) struct Writer {
-    key_value: Rc<dyn KeyValue>,
-    prefix: String,
-    marker: String,
-}
-
-impl Writer {
-    pub(super) fn new(key_value: Rc<dyn KeyValue>, prefix: &str) -> Self {
-        let marker = format!("{prefix}head");
-        Self { key_value, prefix: format!("{prefix}config/"), marker }
+impl Shell {
+    /// Writes, waits for acceptance and answers.
+    pub(super) async fn write(self: Rc<Self>, order: Order) {
+        let result = match self.apply(&order).await {
+            Ok(version) => Ok(self.written(&order, version).await),
+            Err(error) => Err(error),
+        };
+        let _ = order.reply.send(result);
     }
 
-    /// Writes once and returns the version of the write; `held` is the last
-    /// known state of the key.
-    pub(super) async fn write(&self, write: &Write, held: Option<Held>) -> Result<u64> {
-        let mut expected = first_expected(write, held)?;
-        let identifier = fresh_identifier();
-        let stored = Stored { write: identifier.clone(), spec: write.spec.clone() };
-        let value = stored.encode();
-        for _ in 0..RACE_TRIES {
-            let key = format!("{}{}", self.prefix, write.address.key());
-            let swap = Swap { key: key.clone(), expected, value: Some(value.clone()), lease: None };
-            match self.key_value.swap_marked(swap, &self.marker).await {
-                Ok(Swapped::Applied(version)) => return Ok(version),
-                Ok(Swapped::Refused(found)) => expected = next_expected(write, found)?,
-                Err(error) if error.kind == Kind::WriteUnknown => {
-                    return self.settle(&key, expected, &identifier, error).await;
-                }
-                Err(error) => return Err(error),
+    /// Applies a write and returns its version.
+    async fn apply(&self, order: &Order) -> Result<u64> {
+        let (mut write, mut step) = {
+            let known = self.state.borrow();
+            if !known.machine.reachable() {
+                let detail = "the platform can't be reached; nothing was written";
+                return Err(Error::new(Kind::PlatformUnavailable, detail));
             }
+            let held = known.machine.cache().get(&order.address.key());
+            let (address, spec) = (order.address.clone(), order.spec.clone());
+            Write::begin(&self.keys.config, address, spec, order.expected, fresh(), held)
+        };
+        loop {
+            let swap = match step {
+                Step::Swap(swap) => swap,
+                Step::Settle(swap) => {
+                    tokio::time::sleep(SETTLE_PAUSE).await;
+                    swap
+                }
+                Step::Done(result) => return result,
+            };
+            let reply = self.platform.key_value.swap_marked(swap, &self.keys.marker).await;
+            step = write.on_reply(reply);
         }
-        Err(Error::new(Kind::VersionConflict, "others keep writing this resource"))
     }
 
-    /// Finds out whether a write whose reply was lost took effect.
-    async fn settle(
-        &self,
-        key: &str,
-        expected: u64,
-        identifier: &str,
-        error: Error,
-    ) -> Result<u64> {
-        for _ in 0..SETTLE_TRIES {
-            tokio::time::sleep(SETTLE_PAUSE).await;
-            let Ok(found) = self.key_value.get(key).await else { continue };
-            let version = found.as_ref().map_or(0, |entry| entry.version);
-            let stored = found.and_then(|entry| Stored::decode(&entry.value));
-            if stored.is_some_and(|stored| stored.write == identifier) {
-                return Ok(version);
+    /// Spreads an applied write and waits until it is accepted.
+    async fn written(self: &Rc<Self>, order: &Order, version: u64) -> Written {
+        let waited = tokio::time::timeout(ACCEPT_TIMEOUT, self.until_accepted(version)).await;
+        let (kind, name) = (order.address.kind, order.address.name.clone());
+        let spec = order.spec.as_ref().map(plain);
+        let status = self.status(version);
+        let accepted = waited.is_ok();
+        Written { resource: Resource { kind, name, version, spec, status }, accepted }
+    }
+
+    async fn until_accepted(self: &Rc<Self>, version: u64) {
+        while self.state.borrow().machine.cache().version() < version {
+            if self.catch_up().await.is_err() {
+                tokio::time::sleep(SETTLE_PAUSE).await;
             }
-            // The swap may still arrive while the key stands as it expects.
-            if version != expected {
-                break;
+        }
+        self.state.borrow_mut().machine.spread(self.now());
+        self.tick();
+        loop {
+            let moved = self.moved.notified();
+            let now = self.now();
+            if self.state.borrow_mut().machine.accepted(now, version) {
+                return;
             }
+            let _ = tokio::time::timeout(SETTLE_PAUSE, moved).await;
         }
-        Err(error)
-    }
-}
-
-fn first_expected(write: &Write, held: Option<Held>) -> Result<u64> {
-    let version = held.as_ref().map_or(0, |held| held.version);
-    let exists = held.is_some_and(|held| held.value.is_some());
-    match write.expected {
-        Expected::Any if write.spec.is_none() && !exists => Err(not_found(write)),
-        Expected::Any => Ok(version),
-        Expected::Absent if exists => Err(conflict(write, version)),
-        Expected::Absent => Ok(version),
-        Expected::Version(wanted) => Ok(wanted),
     }
 }
-
-fn next_expected(write: &Write, found: Option<Entry>) -> Result<u64> {
-    let version = found.as_ref().map_or(0, |entry| entry.version);
-    let stored = found.and_then(|entry| Stored::decode(&entry.value));
-    let exists = stored.is_some_and(|stored| stored.spec.is_some());
-    match write.expected {
-        Expected::Any if write.spec.is_none() && !exists => Err(not_found(write)),
-        Expected::Any => Ok(version),
-        Expected::Absent if !exists => Ok(version),
-        Expected::Absent | Expected::Version(_) => Err(conflict(write, version)),
-    }
-}
-
-fn not_found(write: &Write) -> Error {
-    let address = &write.address;
-    Error::new(Kind::NotFound, format!("no {} {}", address.kind, address.name))
-}
-
-fn conflict(write: &Write, version: u64) -> Error {
-    let address = &write.address;
-    let detail = format!("{} {} is at version {version}", address.kind, address.name);
-    Error::new(Kind::VersionConflict, detail)
-}
-
-fn fresh_identifier() -> String {
-    let mut bytes = [0; 16];
-    rand::rng().fill_bytes(&mut bytes);
-    bytes.iter().map(|byte| format!("{byte:02x}")).collect()
-}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod filter;
 pub mod id;
 pub mod log;
+pub mod member;
 pub mod node;
 pub mod platform;
 pub mod route;
--- /dev/null
+++ b/src/member/simulate/node.rs
@@ -0,0 +1,124 @@
+//! One VM of a random run.
+
+use crate::clock::Time;
+use crate::config::Delta;
+use crate::config::{Address, Write};
+use crate::error;
+use crate::id::{DataCentre, Vm};
+use crate::member::{Machine, Roster};
+use crate::platform::{Range, Swapped};
+use crate::wire::member::Beat;
+
+/// What one VM or the platform sends to a VM.
+#[derive(Clone, Debug)]
+pub(super) enum Message {
+    BeatCall { beat: Beat },
+    BeatAnswer { beat: Beat },
+    BeatFailed { to: Vm },
+    FetchCall { version: u64 },
+    FetchAnswer { delta: Delta },
+    PushCall { delta: Delta, asked: Time },
+    PushAnswer { version: u64, asked: Time },
+    PushFailed { to: Vm },
+    Confirmed { asked: Time, version: Option<u64> },
+    Range { range: Range },
+    Swapped { ticket: Ticket, reply: error::Result<Swapped> },
+}
+
+/// Who sent a message; an answer reaches only the incarnation that called.
+#[derive(Clone, Debug)]
+pub(super) struct Sender {
+    pub(super) index: usize,
+    pub(super) vm: Vm,
+    pub(super) incarnation: u32,
+}
+
+/// Whose swap is answered.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Ticket {
+    /// An operator's write.
+    Write(u64),
+    /// The table of members.
+    Table,
+}
+
+/// An operator's write in progress.
+pub(super) struct Job {
+    pub(super) number: u64,
+    pub(super) address: Address,
+    pub(super) live: bool,
+    pub(super) write: Write,
+    /// Version at which it was applied, and when to give up waiting.
+    pub(super) applied: Option<(u64, Time)>,
+}
+
+/// One VM.
+pub(super) struct Node {
+    pub(super) vm: Vm,
+    pub(super) centre: DataCentre,
+    pub(super) machine: Machine,
+    pub(super) roster: Roster,
+    /// Rises with each start; what was meant for an earlier one is dropped.
+    pub(super) incarnation: u32,
+    /// How far this VM's clock is ahead of the run's.
+    pub(super) skew: Time,
+    pub(super) up: bool,
+    pub(super) frozen_until: Time,
+    pub(super) waiting: Vec<(Option<Sender>, Message)>,
+    pub(super) jobs: Vec<Job>,
+    pub(super) next_lease: Time,
+    pub(super) next_table: Time,
+    pub(super) table_under_way: bool,
+    /// Which side of a cut it is on, and whether it reaches the platform.
+    pub(super) side: u8,
+    pub(super) reaches_platform: bool,
+}
+
+impl Node {
+    pub(super) fn new(
+        vm: Vm,
+        centre: DataCentre,
+        now: Time,
+        skew: Time,
+        incarnation: u32,
+        offset: u32,
+    ) -> Self {
+        let local = Time(now.0 + skew.0);
+        Self {
+            machine: Machine::new(vm.clone(), centre.clone(), local, offset),
+            vm,
+            centre,
+            roster: Roster::default(),
+            incarnation,
+            skew,
+            up: true,
+            frozen_until: Time(0),
+            waiting: Vec::new(),
+            jobs: Vec::new(),
+            next_lease: now,
+            next_table: now,
+            table_under_way: false,
+            side: 0,
+            reaches_platform: true,
+        }
+    }
+
+    pub(super) fn sender(&self, index: usize) -> Sender {
+        Sender { index, vm: self.vm.clone(), incarnation: self.incarnation }
+    }
+
+    /// This VM's own clock.
+    pub(super) fn local(&self, now: Time) -> Time {
+        Time(now.0 + self.skew.0)
+    }
+
+    pub(super) fn is_frozen(&self, now: Time) -> bool {
+        !self.frozen_until.passed(now)
+    }
+
+    /// Whether this VM would serve keyed work.
+    pub(super) fn serves(&self, now: Time) -> bool {
+        let local = self.local(now);
+        self.up && !self.is_frozen(now) && !self.machine.contact(local).passed(local)
+    }
+}
--- /dev/null
+++ b/src/member/simulate/world.rs
@@ -0,0 +1,567 @@
+//! The fleet, the network and the operators of a random run.
+
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BinaryHeap};
+use std::time::Duration;
+
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+use super::check::Accepted;
+use super::node::{Job, Message, Node, Sender, Ticket};
+use super::service::Service;
+use super::{Report, Violation};
+use crate::clock::Time;
+use crate::config::resource::{Key, Kind, Spec};
+use crate::config::{Address, Delta, Expected, Held, Item, Step, Stored, Write};
+use crate::error;
+use crate::id::Vm;
+use crate::member::{Action, TABLE_KEY};
+use crate::platform::{Entry, Range, Swap, Swapped};
+
+/// Virtual time of one step.
+pub(super) const STEP: Duration = Duration::from_millis(50);
+/// Time after which a call to a peer has failed.
+const CALL_TIMEOUT: Duration = Duration::from_millis(300);
+/// Time after which a call to the platform has failed.
+const PLATFORM_TIMEOUT: Duration = Duration::from_millis(1_500);
+/// Life of a lease without renewal.
+const LEASE_TTL: Duration = Duration::from_secs(6);
+/// Time between renewals.
+const RENEW_INTERVAL: Duration = Duration::from_secs(2);
+/// Time between looks at the table of members.
+const TABLE_INTERVAL: Duration = Duration::from_millis(700);
+/// Time that an operator waits for acceptance.
+const ACCEPT_TIMEOUT: Duration = Duration::from_secs(2);
+/// Lines of history that a violation shows.
+const HISTORY_LINES: usize = 40;
+
+/// Fleet and faults of a run.
+#[derive(Clone, Copy, Debug)]
+pub struct Options {
+    /// Data centres.
+    pub centres: usize,
+    /// VMs in each.
+    pub vms: usize,
+    /// Chance of a fault in each step, in thousandths.
+    pub faults_per_mille: u32,
+    /// Chance of a write in each step, in thousandths.
+    pub writes_per_mille: u32,
+    /// Whether the platform gives a VM list.
+    pub vm_list: bool,
+}
+
+impl Default for Options {
+    fn default() -> Self {
+        Self { centres: 3, vms: 3, faults_per_mille: 12, writes_per_mille: 60, vm_list: true }
+    }
+}
+
+/// Something under way.
+struct Flight {
+    to: usize,
+    incarnation: u32,
+    sender: Option<Sender>,
+    message: Message,
+}
+
+/// The whole run.
+pub(super) struct World {
+    pub(super) seed: u64,
+    pub(super) options: Options,
+    pub(super) random: ChaCha8Rng,
+    pub(super) now: Time,
+    pub(super) step: u32,
+    pub(super) nodes: Vec<Node>,
+    pub(super) service: Service,
+    pub(super) accepted: BTreeMap<String, Accepted>,
+    pub(super) denied: Vec<Vec<u8>>,
+    pub(super) report: Report,
+    pub(super) last_fault: Time,
+    pub(super) named: u32,
+    flights: BinaryHeap<Reverse<(Time, u64)>>,
+    cargo: BTreeMap<u64, Flight>,
+    numbers: u64,
+    history: Vec<String>,
+}
+
+impl World {
+    pub(super) fn new(seed: u64, options: Options) -> Self {
+        let mut world = Self {
+            seed,
+            options,
+            random: ChaCha8Rng::seed_from_u64(seed),
+            now: Time::from_millis(10_000),
+            step: 0,
+            nodes: Vec::new(),
+            service: Service::default(),
+            accepted: BTreeMap::new(),
+            denied: Vec::new(),
+            report: Report::default(),
+            last_fault: Time(0),
+            named: 0,
+            flights: BinaryHeap::new(),
+            cargo: BTreeMap::new(),
+            numbers: 0,
+            history: Vec::new(),
+        };
+        for centre in 0..options.centres {
+            for _ in 0..options.vms {
+                world.add(centre);
+            }
+        }
+        world
+    }
+
+    /// Starts a VM with a new name.
+    pub(super) fn add(&mut self, centre: usize) {
+        self.named += 1;
+        let vm = Vm::from(format!("vm-{}", self.named));
+        self.service.listed.insert(vm.clone());
+        let skew = Time(self.random.random_range(0..3_600_000_000));
+        let offset = self.random.random();
+        let centre = format!("dc-{centre}").as_str().into();
+        self.nodes.push(Node::new(vm, centre, self.now, skew, 0, offset));
+    }
+
+    pub(super) fn run(mut self, steps: u32) -> Result<Report, Violation> {
+        for step in 0..steps {
+            self.step = step;
+            self.advance();
+            self.inject();
+            self.operate();
+            self.check()?;
+        }
+        self.check_end()?;
+        self.report.steps = steps;
+        Ok(self.report)
+    }
+
+    pub(super) fn log(&mut self, line: String) {
+        if self.history.len() >= HISTORY_LINES {
+            self.history.remove(0);
+        }
+        self.history.push(format!("{:>8} ms {line}", self.now.as_millis()));
+    }
+
+    pub(super) fn violation(&self, what: String) -> Violation {
+        let history = self.history.clone();
+        Violation { seed: self.seed, step: self.step, what, history }
+    }
+
+    /// Delivers what arrives within one step, then ticks every VM.
+    fn advance(&mut self) {
+        let end = self.now.after(STEP);
+        while let Some(Reverse((at, number))) = self.flights.peek().copied() {
+            if at > end {
+                break;
+            }
+            self.flights.pop();
+            self.now = self.now.max(at);
+            if let Some(flight) = self.cargo.remove(&number) {
+                self.deliver(flight);
+            }
+        }
+        self.now = end;
+        for index in 0..self.nodes.len() {
+            self.tick(index);
+        }
+    }
+
+    fn deliver(&mut self, flight: Flight) {
+        let now = self.now;
+        let node = &mut self.nodes[flight.to];
+        if !node.up || node.incarnation != flight.incarnation {
+            return;
+        }
+        if node.is_frozen(now) {
+            node.waiting.push((flight.sender, flight.message));
+            return;
+        }
+        self.receive(flight.to, flight.sender, flight.message);
+    }
+
+    fn tick(&mut self, index: usize) {
+        let node = &mut self.nodes[index];
+        if !node.up || node.is_frozen(self.now) {
+            return;
+        }
+        for (sender, message) in std::mem::take(&mut node.waiting) {
+            self.receive(index, sender, message);
+        }
+        let node = &mut self.nodes[index];
+        let local = node.local(self.now);
+        let actions = node.machine.tick(local);
+        self.act(index, actions);
+        self.seed(index);
+        self.renew(index);
+        self.publish_table(index);
+        self.settle_jobs(index);
+    }
+
+    fn act(&mut self, index: usize, actions: Vec<Action>) {
+        for action in actions {
+            match action {
+                Action::Beat(vm, beat) => {
+                    let call = Message::BeatCall { beat };
+                    self.call(index, &vm, call, Message::BeatFailed { to: vm.clone() });
+                }
+                Action::Push(vm, delta) => {
+                    let asked = self.nodes[index].local(self.now);
+                    let call = Message::PushCall { delta, asked };
+                    self.call(index, &vm, call, Message::PushFailed { to: vm.clone() });
+                }
+                Action::Fetch(vm) => {
+                    let version = self.nodes[index].machine.cache().version();
+                    let call = Message::FetchCall { version };
+                    self.call(index, &vm, call, Message::BeatFailed { to: vm.clone() });
+                }
+                Action::Confirm => self.confirm(index),
+            }
+        }
+    }
+
+    /// Takes in a message at a VM that runs.
+    fn receive(&mut self, index: usize, sender: Option<Sender>, message: Message) {
+        match sender {
+            Some(sender) => self.receive_peer(index, &sender, message),
+            None => self.receive_own(index, message),
+        }
+    }
+
+    /// Takes in what a peer sent.
+    fn receive_peer(&mut self, index: usize, from: &Sender, message: Message) {
+        let now = self.nodes[index].local(self.now);
+        let machine = &mut self.nodes[index].machine;
+        match message {
+            Message::BeatCall { beat } => {
+                let (beat, actions) = machine.on_call(now, &from.vm, &beat);
+                self.act(index, actions);
+                self.answer(index, from, Message::BeatAnswer { beat });
+            }
+            Message::BeatAnswer { beat } => {
+                let actions = machine.on_beat(now, &from.vm, &beat);
+                self.act(index, actions);
+            }
+            Message::FetchCall { version } => {
+                let delta = machine.delta(version);
+                self.answer(index, from, Message::FetchAnswer { delta });
+            }
+            Message::FetchAnswer { delta } => {
+                machine.adopt(delta);
+            }
+            Message::PushCall { delta, asked } => {
+                machine.adopt(delta);
+                let version = machine.cache().version();
+                self.answer(index, from, Message::PushAnswer { version, asked });
+            }
+            Message::PushAnswer { version, asked } => {
+                machine.on_pushed(&from.vm, version, asked);
+            }
+            _ => unreachable!("peers send nothing else"),
+        }
+    }
+
+    /// Takes in what the platform answered, and failed calls.
+    fn receive_own(&mut self, index: usize, message: Message) {
+        match message {
+            Message::BeatFailed { to } => self.nodes[index].machine.on_silence(&to),
+            Message::PushFailed { to } => self.nodes[index].machine.on_push_failed(&to),
+            Message::Confirmed { asked, version } => self.confirmed(index, asked, version),
+            Message::Range { range } => self.catch_up(index, range),
+            Message::Swapped { ticket, reply } => self.swapped(index, ticket, reply),
+            _ => unreachable!("only peers send these"),
+        }
+    }
+
+    // The network.
+
+    fn send(&mut self, to: usize, delay: Duration, message: Message) {
+        self.carry(to, delay, None, message);
+    }
+
+    fn carry(&mut self, to: usize, delay: Duration, sender: Option<Sender>, message: Message) {
+        self.numbers += 1;
+        let incarnation = self.nodes[to].incarnation;
+        self.flights.push(Reverse((self.now.after(delay), self.numbers)));
+        self.cargo.insert(self.numbers, Flight { to, incarnation, sender, message });
+    }
+
+    fn delay(&mut self) -> Duration {
+        // Now and then a message is held up for seconds.
+        let slow = self.random.random_ratio(1, 400);
+        let millis = if slow { 1..6_000 } else { 1..4 };
+        Duration::from_millis(self.random.random_range(millis))
+    }
+
+    fn call(&mut self, from: usize, to: &Vm, message: Message, failed: Message) {
+        let target = self.nodes.iter().position(|node| node.vm == *to);
+        let reached = target.filter(|target| {
+            self.nodes[*target].up && self.nodes[*target].side == self.nodes[from].side
+        });
+        match reached {
+            Some(target) => {
+                let delay = self.delay();
+                let sender = self.nodes[from].sender(from);
+                self.carry(target, delay, Some(sender), message);
+                if delay > CALL_TIMEOUT || self.nodes[target].is_frozen(self.now) {
+                    self.send(from, CALL_TIMEOUT, failed);
+                }
+            }
+            None => self.send(from, CALL_TIMEOUT, failed),
+        }
+    }
+
+    fn answer(&mut self, from: usize, to: &Sender, message: Message) {
+        let target = &self.nodes[to.index];
+        let same = target.incarnation == to.incarnation && target.side == self.nodes[from].side;
+        if target.up && same {
+            let delay = self.delay();
+            let sender = self.nodes[from].sender(from);
+            self.carry(to.index, delay, Some(sender), message);
+        }
+    }
+
+    /// Asks any peer for the configuration where the platform can't be.
+    fn seed(&mut self, index: usize) {
+        let machine = &self.nodes[index].machine;
+        if machine.cache().version() > 0 || machine.reachable() {
+            return;
+        }
+        let peer = self.random.random_range(0..self.nodes.len());
+        let vm = self.nodes[peer].vm.clone();
+        if peer != index {
+            self.act(index, vec![Action::Fetch(vm)]);
+        }
+    }
+
+    // The platform.
+
+    /// How long a call to the platform takes; none when it isn't reached.
+    fn platform_delay(&mut self, index: usize) -> Option<Duration> {
+        if !self.nodes[index].reaches_platform || self.service.is_down(self.now) {
+            return None;
+        }
+        let millis = if self.service.is_slow(self.now) { 100..2_500 } else { 1..5 };
+        Some(Duration::from_millis(self.random.random_range(millis)))
+    }
+
+    fn confirm(&mut self, index: usize) {
+        let asked = self.nodes[index].local(self.now);
+        let (delay, version) = match self.platform_delay(index) {
+            Some(delay) if delay < PLATFORM_TIMEOUT => (delay, Some(self.service.head)),
+            Some(_) => (PLATFORM_TIMEOUT, None),
+            None => (Duration::from_millis(2), None),
+        };
+        self.send(index, delay, Message::Confirmed { asked, version });
+    }
+
+    fn confirmed(&mut self, index: usize, asked: Time, version: Option<u64>) {
+        let jitter = self.random.random();
+        let node = &mut self.nodes[index];
+        let now = node.local(self.now);
+        match version {
+            Some(version) => {
+                if node.machine.on_confirmed(asked, version) {
+                    self.read_since(index);
+                }
+            }
+            None => node.machine.on_unconfirmed(now, jitter),
+        }
+    }
+
+    fn read_since(&mut self, index: usize) {
+        let version = self.nodes[index].machine.cache().version();
+        if let Some(delay) = self.platform_delay(index) {
+            let range = self.service.since(version);
+            self.send(index, delay, Message::Range { range });
+        }
+    }
+
+    fn catch_up(&mut self, index: usize, range: Range) {
+        let node = &mut self.nodes[index];
+        let from = node.machine.cache().version();
+        let entries = range.entries.into_iter().filter(|entry| entry.version > from);
+        let items: Vec<Item> = entries.map(item).collect();
+        let to = items.iter().map(|item| item.held.version).max().unwrap_or(from);
+        let from = if from == 0 { 0 } else { from };
+        node.machine.adopt(Delta { from, to, floor: 0, items });
+        // A write of this VM is spread as soon as the VM holds it.
+        let applied = node.jobs.iter().any(|job| job.applied.is_some());
+        let now = node.local(self.now);
+        if applied {
+            node.machine.spread(now);
+        }
+    }
+
+    fn swap(&mut self, index: usize, ticket: Ticket, swap: Swap, pause: Duration) {
+        let unavailable = |kind| error::Error::new(kind, "the run says so");
+        let Some(delay) = self.platform_delay(index) else {
+            let reply = Err(unavailable(error::Kind::PlatformUnavailable));
+            self.send(index, pause, Message::Swapped { ticket, reply });
+            return;
+        };
+        let value = swap.value.clone().unwrap_or_default();
+        let reply = self.service.swap(swap);
+        if let Swapped::Applied(version) = reply {
+            let text = String::from_utf8_lossy(&value).into_owned();
+            self.log(format!("{} wrote version {version}: {text}", self.nodes[index].vm));
+        }
+        let lost = self.random.random_ratio(1, 15);
+        let (delay, reply) = if lost || delay > PLATFORM_TIMEOUT {
+            (PLATFORM_TIMEOUT, Err(unavailable(error::Kind::WriteUnknown)))
+        } else {
+            (delay, Ok(reply))
+        };
+        self.send(index, pause + delay, Message::Swapped { ticket, reply });
+    }
+
+    fn swapped(&mut self, index: usize, ticket: Ticket, reply: error::Result<Swapped>) {
+        let number = match ticket {
+            Ticket::Table => {
+                self.nodes[index].table_under_way = false;
+                self.read_since(index);
+                return;
+            }
+            Ticket::Write(number) => number,
+        };
+        let node = &mut self.nodes[index];
+        let Some(job) = node.jobs.iter_mut().find(|job| job.number == number) else { return };
+        let step = job.write.on_reply(reply);
+        self.step_write(index, number, step);
+    }
+
+    fn step_write(&mut self, index: usize, number: u64, step: Step) {
+        match step {
+            Step::Swap(swap) => self.swap(index, Ticket::Write(number), swap, Duration::ZERO),
+            Step::Settle(swap) => {
+                self.swap(index, Ticket::Write(number), swap, Duration::from_millis(200));
+            }
+            Step::Done(Ok(version)) => {
+                let until = self.now.after(ACCEPT_TIMEOUT);
+                let jobs = &mut self.nodes[index].jobs;
+                if let Some(job) = jobs.iter_mut().find(|job| job.number == number) {
+                    job.applied = Some((version, until));
+                }
+                self.read_since(index);
+            }
+            Step::Done(Err(error)) => {
+                let jobs = &mut self.nodes[index].jobs;
+                let Some(place) = jobs.iter().position(|job| job.number == number) else { return };
+                let job = jobs.remove(place);
+                self.note_refusal(&job, &error);
+            }
+        }
+    }
+
+    fn renew(&mut self, index: usize) {
+        let now = self.now;
+        if !self.nodes[index].next_lease.passed(now) {
+            return;
+        }
+        self.nodes[index].next_lease = now.after(RENEW_INTERVAL);
+        if self.platform_delay(index).is_some() {
+            let node = &self.nodes[index];
+            let lease = (node.centre.clone(), now.after(LEASE_TTL));
+            self.service.leases.insert(node.vm.clone(), lease);
+        }
+    }
+
+    fn publish_table(&mut self, index: usize) {
+        let now = self.now;
+        let node = &self.nodes[index];
+        if !node.next_table.passed(now) || node.table_under_way || !node.machine.is_hub() {
+            return;
+        }
+        self.nodes[index].next_table = now.after(TABLE_INTERVAL);
+        if self.platform_delay(index).is_none() {
+            return;
+        }
+        let (leased, listed) = (self.service.leased(now), self.service.listed.clone());
+        let with_list = self.options.vm_list;
+        let node = &mut self.nodes[index];
+        let local = node.local(now);
+        node.roster.set_leased(leased);
+        if with_list {
+            node.roster.set_listed(listed);
+        }
+        let table = node.machine.table().clone();
+        node.machine.set_gone(node.roster.gone(&table));
+        let wanted = node.roster.wanted(local, &table, |_| false);
+        self.numbers += 1;
+        let write = format!("{}-{}", self.nodes[index].vm, self.numbers);
+        let node = &mut self.nodes[index];
+        let Some(stored) = node.machine.next_table(local, &wanted, &write) else { return };
+        let value = serde_json::to_vec(&stored).expect("plain data becomes JSON");
+        node.table_under_way = true;
+        let swap = Swap {
+            key: TABLE_KEY.into(),
+            expected: table.version,
+            value: Some(value),
+            lease: None,
+        };
+        self.swap(index, Ticket::Table, swap, Duration::ZERO);
+    }
+
+    // Operators.
+
+    fn operate(&mut self) {
+        let chance = self.options.writes_per_mille;
+        if !self.random.random_ratio(chance, 1_000) {
+            return;
+        }
+        let index = self.random.random_range(0..self.nodes.len());
+        if !self.nodes[index].up || self.nodes[index].is_frozen(self.now) {
+            return;
+        }
+        if !self.nodes[index].machine.reachable() {
+            self.report.refused += 1;
+            return;
+        }
+        self.numbers += 1;
+        let number = self.numbers;
+        let name = format!("key-{}", self.random.random_range(0..6));
+        let address = Address { kind: Kind::Key, name };
+        let live = self.random.random_ratio(1, 2);
+        let key = Key { organisation: "norte".into(), sha256: format!("{number:064x}") };
+        let spec = live.then_some(Spec::Key(key));
+        let held = self.nodes[index].machine.cache().get(&address.key()).cloned();
+        let expected = match (&held, self.random.random_ratio(1, 3)) {
+            (Some(held), true) => Expected::Version(held.version),
+            _ => Expected::Any,
+        };
+        let identifier = format!("write-{number}");
+        let (write, step) =
+            Write::begin("", address.clone(), spec, expected, identifier, held.as_ref());
+        let job = Job { number, address, live, write, applied: None };
+        self.nodes[index].jobs.push(job);
+        self.step_write(index, number, step);
+    }
+
+    /// Answers operators whose writes were accepted or waited long enough.
+    fn settle_jobs(&mut self, index: usize) {
+        let now = self.now;
+        let mut jobs = std::mem::take(&mut self.nodes[index].jobs);
+        let local = self.nodes[index].local(now);
+        jobs.retain(|job| {
+            let Some((version, until)) = job.applied else { return true };
+            if self.nodes[index].machine.accepted(local, version) {
+                self.note_accepted(job, version);
+                return false;
+            }
+            if until.passed(now) {
+                self.report.stored += 1;
+                return false;
+            }
+            true
+        });
+        self.nodes[index].jobs = jobs;
+    }
+}
+
+fn item(entry: Entry) -> Item {
+    let live = entry.key == TABLE_KEY
+        || Stored::decode(&entry.value).is_some_and(|stored| stored.spec.is_some());
+    let value = live.then(|| entry.value.into());
+    Item { key: entry.key, held: Held { version: entry.version, value } }
+}
--- a/src/node/entry.rs
+++ b/src/node/entry.rs
@@ -109,10 +109,15 @@
     control.spawn_fn(move || {
         let context = router.context().clone();
         let online: Rc<dyn Handler> = Rc::new(router.quarantine.clone());
-        let areas = Areas { online: Some(online), ..Areas::default() };
         actix_rt::spawn(router.run());
         let platform = control::Platform::from(&settings.platform);
-        control::start(context.clone(), (&settings).into(), platform, commands);
+        let handlers = control::start(context.clone(), (&settings).into(), platform, commands);
+        let areas = Areas {
+            member: Some(handlers.member),
+            config: Some(handlers.config),
+            online: Some(online),
+            ..Areas::default()
+        };
         actix_rt::spawn(super::peers::serve(context, settings.fleet_secret, areas, peer));
     });
 }
--- a/src/node/store.rs
+++ b/src/node/store.rs
@@ -73,10 +73,14 @@
     peer: std::net::TcpListener,
 ) {
     control.spawn_fn(move || {
-        let areas = Areas::default();
         let platform = control::Platform::from(&settings.platform);
         let (_, commands) = control::channel();
-        control::start(context.clone(), (&settings).into(), platform, commands);
+        let handlers = control::start(context.clone(), (&settings).into(), platform, commands);
+        let areas = Areas {
+            member: Some(handlers.member),
+            config: Some(handlers.config),
+            ..Areas::default()
+        };
         actix_rt::spawn(super::peers::serve(context, settings.fleet_secret, areas, peer));
     });
 }
