Make a span and metrics for each request and upstream call

Cause: the entry VM's hop and the upstream's had no span, and /metrics was empty of requests. Ruled out: a span for each filter (nine a request, of no use to operators). Conclusion: what a request met can be read from the log.

--- a/src/filter/chain.rs
+++ b/src/filter/chain.rs
@@ -3,6 +3,8 @@
 use std::rc::Rc;
 use std::sync::Arc;
 
+use tracing::Instrument;
+
 use super::claim::Claim;
 use super::identify::Identify;
 use super::parse::Parse;
@@ -19,6 +21,7 @@
 use crate::error::{Error, Kind, Result};
 use crate::id::Organisation;
 use crate::route::Router;
+use crate::trace::{self, TRACEPARENT};
 use crate::upstream::Client;
 
 /// What the filters use; one for each traffic thread.
@@ -71,6 +74,20 @@
 
     /// Runs one request; gives the reply and the identifier that names it.
     pub async fn run(&self, arrival: Arrival) -> (String, Result<Reply>) {
+        let span = tracing::info_span!("entry", path = arrival.path.as_str());
+        let traceparent = arrival.headers.get(TRACEPARENT).and_then(|value| value.to_str().ok());
+        trace::adopt(&span, traceparent);
+        let clock = &self.services.context.clock;
+        let started = clock.now();
+        let (request, reply) = self.pass(arrival).instrument(span).await;
+        let outcome = reply.as_ref().map_or_else(|error| error.answer().code, |_| "answered");
+        metrics::counter!("parsleybeam_requests_total", "outcome" => outcome).increment(1);
+        metrics::histogram!("parsleybeam_request_seconds", "outcome" => outcome)
+            .record(started.until(clock.now()).as_secs_f64());
+        (request, reply)
+    }
+
+    async fn pass(&self, arrival: Arrival) -> (String, Result<Reply>) {
         let view = self.services.context.shared.load();
         let mut exchange = Exchange::new(arrival, view);
         for (passed, filter) in self.filters.iter().enumerate() {
--- a/src/upstream/http.rs
+++ b/src/upstream/http.rs
@@ -13,11 +13,13 @@
 use futures_util::StreamExt;
 use futures_util::future::{LocalBoxFuture, ready};
 use tokio::sync::mpsc;
+use tracing::{Instrument, Span};
 
 use super::{Call, Client, Failure, Part, Parts};
 use crate::clock::Clock;
 use crate::error::{Error, Kind};
 use crate::stream::Split;
+use crate::trace::{self, TRACEPARENT};
 use crate::view::Upstream;
 
 /// Bound on connecting.
@@ -66,7 +68,8 @@
         let (sender, parts) = mpsc::channel(PART_QUEUE);
         let address = upstream.spec.address;
         let (client, clock) = (self.client.clone(), self.clock.clone());
-        actix_rt::spawn(async move {
+        let span = tracing::info_span!("upstream", upstream = %upstream.name);
+        let exchange = async move {
             let left = clock.now().until(call.deadline);
             let run = tokio::time::timeout(left, run(&client, address, call, &sender));
             let failure = tokio::select! {
@@ -79,7 +82,8 @@
                 },
             };
             let _ = sender.send(Err(failure)).await;
-        });
+        };
+        actix_rt::spawn(exchange.instrument(span));
         Box::pin(ready(parts))
     }
 }
@@ -95,8 +99,9 @@
         .no_decompress()
         .insert_header((REQUEST_ID, call.request.as_str()))
         .insert_header((header::CONTENT_TYPE, call.content_type.as_str()));
-    if let Some(traceparent) = &call.traceparent {
-        request = request.insert_header(("traceparent", traceparent.as_str()));
+    let traceparent = trace::traceparent(&Span::current()).or_else(|| call.traceparent.clone());
+    if let Some(traceparent) = traceparent {
+        request = request.insert_header((TRACEPARENT, traceparent));
     }
     let body = body_of(&call).map_err(Failure::NotSent)?;
     let response = request.send_body(body).await.map_err(|error| failure(&error))?;
