Drive the online path's decisions at random

Cause: at most once, true refusals, whole streams and the bound on poison requests were each checked in one hand-made case only. route::simulate runs the daemons' own Course, Budget, Poison, Balance and Assembly over four VMs and eight upstreams with crashes, crossed and late answers, resends through several VMs and lost VMs, and compares with what truly ran. A cancelled run now counts until its upstream was seen alive. Keepers: two a fingerprint, the strictest verdict counts, so that a restarted VM which knows nothing can't allow a third run.

--- a/src/filter/send.rs
+++ b/src/filter/send.rs
@@ -119,7 +119,7 @@
     pub async fn next(&mut self, slot: Option<Slot>, resume_from: u32) -> Result<Attempt> {
         let mut slot = slot;
         loop {
-            let taken = match slot.take() {
+            let mut taken = match slot.take() {
                 Some(slot) => slot,
                 None => self.enter().await?,
             };
@@ -128,7 +128,7 @@
                 self.ticket.excluded.push(taken.permit.upstream.clone());
                 continue;
             };
-            match self.send(&taken, &upstream, resume_from).await? {
+            match self.send(&mut taken, &upstream, resume_from).await? {
                 Ok((request, flight, status, content_type, parts)) => {
                     let slot = taken;
                     return Ok(Attempt { slot, flight, request, status, content_type, parts });
@@ -147,7 +147,7 @@
 
     async fn send(
         &mut self,
-        slot: &Slot,
+        slot: &mut Slot,
         upstream: &Upstream,
         resume_from: u32,
     ) -> Result<std::result::Result<Begun, Failure>> {
@@ -163,6 +163,7 @@
         let request = call.request.clone();
         let flight = Flight::start(&self.services.router.balance, &slot.permit.upstream);
         self.course.send(now)?;
+        slot.guard.sent(upstream.spec.address);
         let mut parts = self.services.client.send(upstream, call).await;
         Ok(match parts.recv().await {
             Some(Ok(Part::Head { status, content_type })) => {
@@ -175,13 +176,16 @@
 
     /// Takes note of a failed attempt; fails when there may be no other.
     pub async fn failed(&mut self, slot: Slot, failure: Failure) -> Result<()> {
-        let Slot { guard, permit } = slot;
+        let Slot { mut guard, permit } = slot;
         let upstream = permit.upstream.clone();
         drop(permit);
         let now = self.services.context.clock.now();
         let balance = &self.services.router.balance;
         match &failure {
-            Failure::NotSent(_) => balance.lost(&upstream, now),
+            Failure::NotSent(_) => {
+                guard.not_sent();
+                balance.lost(&upstream, now);
+            }
             Failure::Sent(_) if failure.broke_off() => {
                 emit!(self.services.context.log, Event::UpstreamDied,
                     "upstream" => upstream.to_string());
--- a/src/route/mod.rs
+++ b/src/route/mod.rs
@@ -16,6 +16,7 @@
 mod poll;
 mod quarantine;
 mod router;
+pub mod simulate;
 mod subset;
 
 pub use affinity::{Affinity, CacheEvent, CacheKind};
@@ -25,7 +26,9 @@
 pub use course::Course;
 pub use health::Health;
 pub use load::{Load, Report};
-pub use poison::{Fingerprint, LOSS_LIMIT, Outcome, Poison, Run, Verdict};
+pub use poison::{
+    Fingerprint, KEEPERS, LINGER, LOSS_LIMIT, Outcome, Poison, Run, Verdict, keepers,
+};
 pub use quarantine::{Guard, Quarantine};
 pub use router::Router;
 pub use subset::subset;
--- a/src/route/poison.rs
+++ b/src/route/poison.rs
@@ -1,19 +1,32 @@
 //! Requests that crash upstreams, known by a fingerprint of path and body.
 //!
-//! Each fingerprint has one owner among the entry VMs, which is asked before
-//! a request runs. Until a run of it has ended well, lost upstreams and runs
-//! under way are never more than `LOSS_LIMIT` together, through however many
-//! VMs the request is sent. After one loss it runs alone; after the last one
-//! it is quarantined. A run that ends well clears the fingerprint.
+//! Each fingerprint has two keepers among the entry VMs, those that rank first
+//! for it. They are asked before each run, and the strictest verdict counts.
+//! Until a run has ended well, deaths and runs under way are never more than
+//! `LOSS_LIMIT` together, through however many VMs the request comes. After
+//! one death it runs alone; after the last it is quarantined. A run that ends
+//! well clears the fingerprint.
+//!
+//! Deaths are a set of runs, so that VMs may tell each other the same death
+//! any number of times.
 
-use std::collections::HashMap;
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::hash::Hasher;
 use std::time::Duration;
 
+use siphasher::sip::SipHasher24;
+
 use crate::clock::Time;
 use crate::id::Vm;
 
 /// Upstreams that one request may cost the fleet.
-pub const LOSS_LIMIT: u32 = 2;
+pub const LOSS_LIMIT: usize = 2;
+/// Entry VMs that keep a fingerprint's record.
+pub const KEEPERS: usize = 2;
+
+/// How long a cancelled run counts before its upstream is looked at: a crash
+/// that came before the cancellation must have shown by then.
+pub const LINGER: Duration = Duration::from_millis(500);
 
 /// How long a fingerprint is remembered after it was last met.
 const MEMORY: Duration = Duration::from_secs(600);
@@ -21,14 +34,14 @@
 const QUARANTINE: Duration = Duration::from_secs(3_600);
 /// How long a run counts after its deadline, when its end is never told.
 const RUN_GRACE: Duration = Duration::from_secs(2);
-/// Fingerprints kept; beyond, those that lost nothing are dropped first.
+/// Fingerprints kept; beyond, those without deaths or runs are dropped first.
 const MAX_RECORDS: usize = 100_000;
 
 key! {
     /// Digest of a request's path and body.
     pub struct Fingerprint(pub u128);
 
-    /// What may be done with a request now.
+    /// What may be done with a request now, from loose to strict.
     pub enum Verdict {
         /// It may run.
         Run,
@@ -51,8 +64,23 @@
     }
 }
 
+impl Verdict {
+    /// Whether the request may run now.
+    pub fn allows(self) -> bool {
+        matches!(self, Verdict::Run | Verdict::Alone)
+    }
+
+    /// The strictest of several verdicts.
+    pub fn strictest<I>(verdicts: I) -> Self
+    where
+        I: IntoIterator<Item = Verdict>,
+    {
+        verdicts.into_iter().max().unwrap_or(Verdict::Run)
+    }
+}
+
 /// One run of a request, unique over the fleet.
-#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub struct Run {
     /// VM that runs it.
     pub vm: Vm,
@@ -62,13 +90,14 @@
 
 #[derive(Clone, Debug, Default)]
 struct Record {
-    running: HashMap<Run, Time>,
-    lost: u32,
+    running: BTreeMap<Run, Time>,
+    deaths: BTreeSet<Run>,
     cleared: bool,
+    condemned: bool,
     until: Time,
 }
 
-/// What an owner knows.
+/// What one VM knows.
 #[derive(Clone, Debug, Default)]
 pub struct Poison {
     records: HashMap<Fingerprint, Record>,
@@ -77,13 +106,12 @@
 impl Poison {
     /// Asks to run a request until `deadline`.
     pub fn begin(&mut self, print: Fingerprint, run: Run, deadline: Time, now: Time) -> Verdict {
-        self.make_room(now);
-        let record = self.records.entry(print).or_default();
-        record.refresh(now);
+        let record = self.record(print, now);
+        record.running.remove(&run);
         let verdict = record.judge();
-        if matches!(verdict, Verdict::Run | Verdict::Alone) {
+        if verdict.allows() {
             record.running.insert(run, deadline.after(RUN_GRACE));
-            let risked = record.lost + record.running.len() as u32;
+            let risked = record.deaths.len() + record.running.len();
             assert!(
                 record.cleared || risked <= LOSS_LIMIT,
                 "a request may cost too many upstreams"
@@ -92,58 +120,49 @@
         verdict
     }
 
-    /// Notes how a run ended; gives the losses so far if they have grown.
-    pub fn end(&mut self, print: Fingerprint, run: &Run, how: Outcome, now: Time) -> Option<u32> {
-        let record = self.records.entry(print).or_default();
-        record.refresh(now);
+    /// Notes how a run ended; true if that quarantined the request.
+    pub fn end(&mut self, print: Fingerprint, run: &Run, how: Outcome, now: Time) -> bool {
+        let record = self.record(print, now);
+        let before = record.quarantined();
         record.running.remove(run);
         match how {
-            Outcome::Whole if record.lost < LOSS_LIMIT => {
+            Outcome::Whole if !before => {
                 record.cleared = true;
-                record.lost = 0;
-                None
+                record.deaths.clear();
             }
             Outcome::Died => {
                 record.cleared = false;
-                record.lost += 1;
-                Some(record.lost)
+                record.deaths.insert(run.clone());
             }
-            Outcome::Whole | Outcome::Other => None,
+            Outcome::Whole | Outcome::Other => {}
         }
+        record.quarantined() && !before
     }
 
-    /// Takes in losses that another VM tells.
-    pub fn learn(&mut self, print: Fingerprint, lost: u32, now: Time) {
-        self.make_room(now);
-        let record = self.records.entry(print).or_default();
-        record.lost = record.lost.max(lost);
-        record.cleared = false;
-        record.refresh(now);
+    /// Notes that a keeper refuses the request for good.
+    pub fn condemn(&mut self, print: Fingerprint, now: Time) {
+        self.record(print, now).condemned = true;
     }
 
-    /// Whether a request never runs again.
-    pub fn is_quarantined(&mut self, print: Fingerprint, now: Time) -> bool {
-        let Some(record) = self.records.get_mut(&print) else { return false };
-        if record.until.passed(now) {
-            self.records.remove(&print);
-            return false;
-        }
-        record.lost >= LOSS_LIMIT
+    /// Whether a request never runs again, as far as this VM knows.
+    pub fn is_quarantined(&self, print: Fingerprint, now: Time) -> bool {
+        self.known(print, now).is_some_and(Record::quarantined)
     }
 
     /// Whether a run of the request ended well and none has died since.
     pub fn is_cleared(&self, print: Fingerprint, now: Time) -> bool {
-        self.records.get(&print).is_some_and(|record| record.cleared && !record.until.passed(now))
+        self.known(print, now).is_some_and(|record| record.cleared)
     }
 
-    /// Fingerprints kept.
-    pub fn len(&self) -> usize {
-        self.records.len()
+    fn known(&self, print: Fingerprint, now: Time) -> Option<&Record> {
+        self.records.get(&print).filter(|record| !record.until.passed(now))
     }
 
-    /// Whether none is kept.
-    pub fn is_empty(&self) -> bool {
-        self.records.is_empty()
+    fn record(&mut self, print: Fingerprint, now: Time) -> &mut Record {
+        self.make_room(now);
+        let record = self.records.entry(print).or_default();
+        record.refresh(now);
+        record
     }
 
     fn make_room(&mut self, now: Time) {
@@ -152,29 +171,55 @@
         }
         self.records.retain(|_, record| !record.until.passed(now));
         if self.records.len() >= MAX_RECORDS {
-            self.records.retain(|_, record| record.lost > 0 || !record.running.is_empty());
+            self.records.retain(|_, record| {
+                record.condemned || !record.deaths.is_empty() || !record.running.is_empty()
+            });
         }
     }
 }
 
 impl Record {
     fn refresh(&mut self, now: Time) {
-        if self.until.passed(now) && self.until > Time(0) && self.running.is_empty() {
+        self.running.retain(|_, until| !until.passed(now));
+        if self.until.passed(now) && self.running.is_empty() {
             *self = Self::default();
         }
-        self.running.retain(|_, until| !until.passed(now));
-        let span = if self.lost >= LOSS_LIMIT { QUARANTINE } else { MEMORY };
+        let span = if self.quarantined() { QUARANTINE } else { MEMORY };
         self.until = now.after(span);
     }
 
+    fn quarantined(&self) -> bool {
+        self.condemned || self.deaths.len() >= LOSS_LIMIT
+    }
+
     fn judge(&self) -> Verdict {
-        let running = self.running.len() as u32;
-        match self.lost {
-            lost if lost >= LOSS_LIMIT => Verdict::Quarantined,
-            _ if self.cleared => Verdict::Run,
-            lost if lost + running >= LOSS_LIMIT => Verdict::Wait,
-            0 => Verdict::Run,
-            _ => Verdict::Alone,
+        if self.quarantined() {
+            return Verdict::Quarantined;
+        }
+        if self.cleared {
+            return Verdict::Run;
         }
+        if self.deaths.len() + self.running.len() >= LOSS_LIMIT {
+            return Verdict::Wait;
+        }
+        if self.deaths.is_empty() { Verdict::Run } else { Verdict::Alone }
     }
 }
+
+/// The VMs that keep a fingerprint, in the order they are asked.
+pub fn keepers<'a, I>(print: Fingerprint, vms: I) -> Vec<&'a Vm>
+where
+    I: IntoIterator<Item = &'a Vm>,
+{
+    let mut ranked: Vec<&Vm> = vms.into_iter().collect();
+    ranked.sort_by_key(|vm| std::cmp::Reverse(score(print, vm)));
+    ranked.truncate(KEEPERS);
+    ranked
+}
+
+fn score(print: Fingerprint, vm: &Vm) -> u64 {
+    let mut hasher = SipHasher24::new();
+    hasher.write_u128(print.0);
+    hasher.write(vm.as_str().as_bytes());
+    hasher.finish()
+}
--- a/src/route/quarantine.rs
+++ b/src/route/quarantine.rs
@@ -1,11 +1,10 @@
 //! Asks and tells the fleet about requests that crash upstreams.
 //!
-//! The owner of a fingerprint is the entry VM that ranks first for it. While
-//! the owner gives no answer this VM decides alone for a while, with what it
-//! was told of losses; only runs under way elsewhere are then unknown to it.
+//! A VM always counts its own verdict as well, so while no keeper answers it
+//! decides with what it was told.
 
 use std::collections::HashMap;
-use std::hash::Hasher;
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
@@ -13,10 +12,10 @@
 use futures_util::future::LocalBoxFuture;
 use parking_lot::Mutex;
 use sha2::{Digest as _, Sha256};
-use siphasher::sip::SipHasher24;
+use tokio::net::TcpStream;
 use tokio::sync::mpsc;
 
-use super::poison::{Fingerprint, LOSS_LIMIT, Outcome, Poison, Run, Verdict};
+use super::poison::{Fingerprint, LINGER, Outcome, Poison, Run, Verdict, keepers};
 use crate::clock::Time;
 use crate::context::Context;
 use crate::emit;
@@ -32,9 +31,9 @@
 const SILENCE: Duration = Duration::from_secs(2);
 /// Pause before a request that must wait is tried again.
 const RETRY_PAUSE: Duration = Duration::from_millis(10);
-/// Messages that may wait to be told; more are dropped, and a run whose end
+/// Messages and probes that may wait; more are dropped, and a run whose end
 /// isn't told ends with its deadline.
-const TELL_QUEUE: usize = 8_192;
+const WORK_QUEUE: usize = 8_192;
 
 impl Fingerprint {
     /// Fingerprint of a request.
@@ -60,6 +59,14 @@
     }
 }
 
+/// What the control thread does for the traffic threads.
+enum Work {
+    /// Tells a peer.
+    Tell(Member, online::Body),
+    /// Looks whether the upstream of a cancelled run is alive, then ends it.
+    Probe(Guard, SocketAddr),
+}
+
 /// What one VM does about requests that crash upstreams; cheap to clone.
 #[derive(Clone)]
 pub struct Quarantine {
@@ -71,35 +78,39 @@
     poison: Mutex<Poison>,
     silent: Mutex<HashMap<Vm, Time>>,
     next: AtomicU64,
-    tell: mpsc::Sender<(Member, online::Body)>,
-    told: Mutex<Option<mpsc::Receiver<(Member, online::Body)>>>,
+    work: mpsc::Sender<Work>,
+    queue: Mutex<Option<mpsc::Receiver<Work>>>,
 }
 
 impl Quarantine {
     /// Knows nothing yet.
     pub fn new(context: Context) -> Self {
-        let (tell, told) = mpsc::channel(TELL_QUEUE);
+        let (work, queue) = mpsc::channel(WORK_QUEUE);
         let inner = Inner {
             context,
             poison: Mutex::default(),
             silent: Mutex::default(),
             // Random, so that a restarted VM's runs aren't taken for old ones.
             next: AtomicU64::new(rand::random()),
-            tell,
-            told: Mutex::new(Some(told)),
+            work,
+            queue: Mutex::new(Some(queue)),
         };
         Self { inner: Arc::new(inner) }
     }
 
-    /// Tells other VMs what they must know; runs on the control thread.
+    /// Tells other VMs what they must know and looks after cancelled runs;
+    /// runs on the control thread.
     pub async fn run(self) {
-        let told = self.inner.told.lock().take();
-        let Some(mut told) = told else { return };
-        while let Some((member, body)) = told.recv().await {
+        let queue = self.inner.queue.lock().take();
+        let Some(mut queue) = queue else { return };
+        while let Some(work) = queue.recv().await {
             let quarantine = self.clone();
             actix_rt::spawn(async move {
-                // A run whose end is lost ends with its deadline.
-                let _ = quarantine.call(&member, body).await;
+                match work {
+                    // A run whose end is lost ends with its deadline.
+                    Work::Tell(member, body) => drop(quarantine.call(&member, body).await),
+                    Work::Probe(guard, address) => probe(guard, address).await,
+                }
             });
         }
     }
@@ -120,15 +131,13 @@
             vm: self.inner.context.vm.clone(),
             number: self.inner.next.fetch_add(1, Ordering::Relaxed),
         };
-        let mut guard =
-            Guard { quarantine: self.clone(), print, run, owner: None, alone: false, ended: false };
+        let mut guard = Guard::new(self.clone(), print, run);
         loop {
-            let now = self.inner.context.clock.now();
             self.check(print)?;
+            let now = self.inner.context.clock.now();
             if self.inner.poison.lock().is_cleared(print, now) {
                 return Ok(guard);
             }
-            guard.owner = self.owner(print, now);
             match self.ask(&mut guard, deadline).await {
                 Verdict::Run => return Ok(guard),
                 Verdict::Alone => {
@@ -136,10 +145,10 @@
                     return Ok(guard);
                 }
                 Verdict::Quarantined => {
-                    self.learn(print, LOSS_LIMIT);
+                    self.inner.poison.lock().condemn(print, now);
                     return Err(quarantined());
                 }
-                Verdict::Wait => tokio::time::sleep(RETRY_PAUSE).await,
+                Verdict::Wait => tokio::time::sleep(pause()).await,
             }
             if deadline.passed(self.inner.context.clock.now()) {
                 let detail = "other runs of the same request haven't ended";
@@ -148,34 +157,47 @@
         }
     }
 
+    /// Asks all keepers at once and itself; the strictest verdict counts, so
+    /// that one of them may have lost what it knew. All have then noted the
+    /// run; a run that may not begin is taken back.
     async fn ask(&self, guard: &mut Guard, deadline: Time) -> Verdict {
         let now = self.inner.context.clock.now();
-        if let Some(owner) = &guard.owner {
-            let left_micros = now.until(deadline).as_micros() as u64;
-            let begin = online::Begin {
-                fingerprint: guard.print.bytes(),
-                run: guard.run.number,
-                left_micros,
-            };
-            match self.call(owner, online::Body::Begin(begin)).await {
-                Ok(online::Body::Verdict(verdict)) => return read_verdict(verdict),
-                Ok(_) | Err(_) => self.mark_silent(owner),
+        guard.keepers = self.remote_keepers(guard.print, now);
+        let own = self.inner.poison.lock().begin(guard.print, guard.run.clone(), deadline, now);
+        let begin = guard.begin_message(deadline, now);
+        let asked = guard.keepers.iter().map(|keeper| self.ask_one(keeper, begin.clone()));
+        let told = futures_util::future::join_all(asked).await;
+        let verdict = Verdict::strictest(told.into_iter().flatten().chain([own]));
+        if !verdict.allows() {
+            guard.take_back();
+        }
+        verdict
+    }
+
+    async fn ask_one(&self, keeper: &Member, begin: online::Body) -> Option<Verdict> {
+        match self.call(keeper, begin).await {
+            Ok(online::Body::Verdict(verdict)) => Some(read_verdict(verdict)),
+            Ok(_) | Err(_) => {
+                self.mark_silent(keeper);
+                None
             }
-            // It may have registered the run all the same.
-            self.tell(owner, guard.end_message(Outcome::Other));
-            guard.owner = None;
         }
-        self.inner.poison.lock().begin(guard.print, guard.run.clone(), deadline, now)
     }
 
-    /// The VM to ask; none when it is this one or gives no answer.
-    fn owner(&self, print: Fingerprint, now: Time) -> Option<Member> {
+    fn is_own(&self, member: &Member) -> bool {
+        member.vm == self.inner.context.vm
+    }
+
+    /// The other VMs to ask, without those that gave no answer lately.
+    fn remote_keepers(&self, print: Fingerprint, now: Time) -> Vec<Member> {
         let view = self.inner.context.shared.load();
+        let silent = self.inner.silent.lock();
         let entries = view.members.values().filter(|member| member.role == Role::Entry);
-        let owner = entries.max_by_key(|member| score(print, &member.vm))?;
-        let own = owner.vm == self.inner.context.vm;
-        let silent = self.inner.silent.lock().get(&owner.vm).is_some_and(|it| !it.passed(now));
-        (!own && !silent).then(|| owner.clone())
+        let usable = |vm: &&Vm| {
+            **vm != self.inner.context.vm && silent.get(*vm).is_none_or(|it| it.passed(now))
+        };
+        let kept = keepers(print, entries.map(|member| &member.vm));
+        kept.into_iter().filter(usable).filter_map(|vm| view.members.get(vm).cloned()).collect()
     }
 
     fn mark_silent(&self, member: &Member) {
@@ -193,28 +215,14 @@
     }
 
     fn tell(&self, member: &Member, body: online::Body) {
-        let _ = self.inner.tell.try_send((member.clone(), body));
+        let _ = self.inner.work.try_send(Work::Tell(member.clone(), body));
     }
 
-    fn learn(&self, print: Fingerprint, lost: u32) {
-        let now = self.inner.context.clock.now();
-        self.inner.poison.lock().learn(print, lost, now);
-    }
-
-    /// Notes how a run that this VM owns ended, and tells all of a loss.
     fn end(&self, print: Fingerprint, run: &Run, how: Outcome) {
         let now = self.inner.context.clock.now();
-        let Some(lost) = self.inner.poison.lock().end(print, run, how, now) else { return };
-        if lost >= LOSS_LIMIT {
+        if self.inner.poison.lock().end(print, run, how, now) {
             emit!(self.inner.context.log, Event::RequestQuarantined,
-                "fingerprint" => format!("{:032x}", print.0), "lost" => lost);
-        }
-        let view = self.inner.context.shared.load();
-        for member in view.members.values() {
-            if member.role == Role::Entry && member.vm != self.inner.context.vm {
-                let loss = online::Loss { fingerprint: print.bytes(), lost };
-                self.tell(member, online::Body::Loss(loss));
-            }
+                "fingerprint" => format!("{:032x}", print.0));
         }
     }
 
@@ -225,7 +233,8 @@
             online::Body::Begin(begin) => {
                 let print = Fingerprint::read(&begin.fingerprint)?;
                 let deadline = now.after(Duration::from_micros(begin.left_micros));
-                let verdict = self.inner.poison.lock().begin(print, run(begin.run), deadline, now);
+                let run = run(begin.run);
+                let verdict = self.inner.poison.lock().begin(print, run, deadline, now);
                 Ok(online::Body::Verdict(write_verdict(verdict).into()))
             }
             online::Body::End(end) => {
@@ -233,10 +242,6 @@
                 self.end(print, &run(end.run), read_outcome(end.outcome));
                 Ok(online::Body::Done(()))
             }
-            online::Body::Loss(loss) => {
-                self.learn(Fingerprint::read(&loss.fingerprint)?, loss.lost);
-                Ok(online::Body::Done(()))
-            }
             online::Body::Done(()) | online::Body::Verdict(_) => {
                 Err(Error::new(Kind::Peer, "an answer came as a call"))
             }
@@ -261,13 +266,30 @@
     quarantine: Quarantine,
     print: Fingerprint,
     run: Run,
-    /// Who gave it; none for this VM.
-    owner: Option<Member>,
+    /// Other VMs that know of it.
+    keepers: Vec<Member>,
     alone: bool,
+    /// Upstream that may be running it.
+    sent: Option<SocketAddr>,
     ended: bool,
 }
 
 impl Guard {
+    fn new(quarantine: Quarantine, print: Fingerprint, run: Run) -> Self {
+        Self { quarantine, print, run, keepers: vec![], alone: false, sent: None, ended: false }
+    }
+
+    /// The request is about to leave for the upstream at `address`; unless
+    /// the end is told otherwise, it then counts until that was seen alive.
+    pub fn sent(&mut self, address: SocketAddr) {
+        self.sent = Some(address);
+    }
+
+    /// The request did not leave after all.
+    pub fn not_sent(&mut self) {
+        self.sent = None;
+    }
+
     /// Whether it must run where nothing else runs.
     pub fn alone(&self) -> bool {
         self.alone
@@ -278,30 +300,58 @@
         self.finish(Outcome::Whole);
     }
 
-    /// The upstream's answer broke off. Returns once the owner knows, so that
-    /// a retry meets this loss.
+    /// The upstream's answer broke off. Returns once the keepers know or gave
+    /// no answer, so that a retry meets this death; all others are told.
     pub async fn died(mut self) {
         self.ended = true;
-        self.quarantine.end(self.print, &self.run, Outcome::Died);
-        let now = self.quarantine.inner.context.clock.now();
-        let owner = self.owner.take().or_else(|| self.quarantine.owner(self.print, now));
-        let Some(owner) = owner else { return };
-        let end = self.end_message(Outcome::Died);
-        if self.quarantine.call(&owner, end).await.is_err() {
-            self.quarantine.mark_silent(&owner);
+        let quarantine = &self.quarantine;
+        quarantine.end(self.print, &self.run, Outcome::Died);
+        let now = quarantine.inner.context.clock.now();
+        let keepers = quarantine.remote_keepers(self.print, now);
+        let view = quarantine.inner.context.shared.load();
+        let entries = view.members.values().filter(|member| member.role == Role::Entry);
+        for member in entries.filter(|member| !quarantine.is_own(member)) {
+            if keepers.iter().all(|keeper| keeper.vm != member.vm) {
+                quarantine.tell(member, self.end_message(Outcome::Died));
+            }
         }
+        let calls = keepers.iter().map(|keeper| async {
+            if quarantine.call(keeper, self.end_message(Outcome::Died)).await.is_err() {
+                quarantine.mark_silent(keeper);
+            }
+        });
+        futures_util::future::join_all(calls).await;
     }
 
     fn finish(&mut self, how: Outcome) {
         if std::mem::replace(&mut self.ended, true) {
             return;
         }
+        self.tell_all(how);
+    }
+
+    /// Takes a run back that was allowed by some only.
+    fn take_back(&mut self) {
+        self.tell_all(Outcome::Other);
+        // A new number, so that a late message can't end the next try.
+        self.run.number = self.quarantine.inner.next.fetch_add(1, Ordering::Relaxed);
+    }
+
+    fn tell_all(&self, how: Outcome) {
         self.quarantine.end(self.print, &self.run, how);
-        if let Some(owner) = &self.owner {
-            self.quarantine.tell(owner, self.end_message(how));
+        for keeper in &self.keepers {
+            self.quarantine.tell(keeper, self.end_message(how));
         }
     }
 
+    fn begin_message(&self, deadline: Time, now: Time) -> online::Body {
+        online::Body::Begin(online::Begin {
+            fingerprint: self.print.bytes(),
+            run: self.run.number,
+            left_micros: now.until(deadline).as_micros() as u64,
+        })
+    }
+
     fn end_message(&self, how: Outcome) -> online::Body {
         let outcome = match how {
             Outcome::Other => online::Outcome::Other,
@@ -318,15 +368,35 @@
 
 impl Drop for Guard {
     fn drop(&mut self) {
-        self.finish(Outcome::Other);
+        let Some(address) = self.sent.take().filter(|_| !self.ended) else {
+            return self.finish(Outcome::Other);
+        };
+        // A cancelled run may crash its upstream before the cancellation
+        // arrives, so it isn't over yet.
+        self.ended = true;
+        let mut rest = Guard::new(self.quarantine.clone(), self.print, self.run.clone());
+        rest.keepers = std::mem::take(&mut self.keepers);
+        if let Err(error) = self.quarantine.inner.work.try_send(Work::Probe(rest, address)) {
+            // Nobody will look, so the run counts until its deadline.
+            if let Work::Probe(mut rest, _) = error.into_inner() {
+                rest.ended = true;
+            }
+        }
+    }
+}
+
+/// Ends a cancelled run by whether its upstream is alive.
+async fn probe(guard: Guard, address: SocketAddr) {
+    tokio::time::sleep(LINGER).await;
+    match tokio::time::timeout(ASK_TIMEOUT, TcpStream::connect(address)).await {
+        Ok(Ok(_)) => drop(guard),
+        Ok(Err(_)) | Err(_) => guard.died().await,
     }
 }
 
-fn score(print: Fingerprint, vm: &Vm) -> u64 {
-    let mut hasher = SipHasher24::new();
-    hasher.write_u128(print.0);
-    hasher.write(vm.as_str().as_bytes());
-    hasher.finish()
+/// Differs from try to try, so that two requests don't block each other.
+fn pause() -> Duration {
+    RETRY_PAUSE.mul_f64(0.5 + rand::random::<f64>())
 }
 
 fn quarantined() -> Error {
--- a/src/upstream/http.rs
+++ b/src/upstream/http.rs
@@ -15,7 +15,7 @@
 use tokio::sync::mpsc;
 use tracing::{Instrument, Span};
 
-use super::{Call, Client, Failure, Part, Parts};
+use super::{Call, Client, Failure, Part, Parts, check_name};
 use crate::clock::Clock;
 use crate::error::{Error, Kind};
 use crate::stream::Split;
@@ -106,9 +106,7 @@
     let body = body_of(&call).map_err(Failure::NotSent)?;
     let response = request.send_body(body).await.map_err(|error| failure(&error))?;
     let named = response.headers().get(REQUEST_ID).and_then(|value| value.to_str().ok());
-    if named != Some(call.request.as_str()) {
-        return Err(wrong("the answer belongs to another request"));
-    }
+    check_name(named, &call.request)?;
     read(response, sender).await
 }
 
--- a/src/upstream/mod.rs
+++ b/src/upstream/mod.rs
@@ -65,6 +65,16 @@
     }
 }
 
+/// Checks that an answer names the request it is taken for; a late or crossed
+/// one must be dropped together with its connection.
+pub fn check_name(named: Option<&str>, request: &str) -> Result<(), Failure> {
+    if named == Some(request) {
+        return Ok(());
+    }
+    let error = Error::new(Kind::UpstreamFailed, "the answer belongs to another request");
+    Err(Failure::Sent(error))
+}
+
 /// A running call; dropping it cancels the call at the upstream.
 pub type Parts = mpsc::Receiver<Result<Part, Failure>>;
 
--- a/src/wire/online.rs
+++ b/src/wire/online.rs
@@ -4,7 +4,7 @@
 #[derive(Clone, PartialEq, prost::Message)]
 pub struct Message {
     /// What is said.
-    #[prost(oneof = "Body", tags = "1, 2, 3, 4, 5")]
+    #[prost(oneof = "Body", tags = "1, 2, 3, 4")]
     pub body: Option<Body>,
 }
 
@@ -14,18 +14,15 @@
     /// Nothing; an answer that only confirms.
     #[prost(message, tag = "1")]
     Done(()),
-    /// Asks the fingerprint's owner whether a request may run.
+    /// Asks a fingerprint's keeper whether a request may run.
     #[prost(message, tag = "2")]
     Begin(Begin),
-    /// The owner's answer to `Begin`.
+    /// The keeper's answer to `Begin`.
     #[prost(enumeration = "Verdict", tag = "3")]
     Verdict(i32),
-    /// Tells the owner how a run ended.
+    /// Tells how a run ended.
     #[prost(message, tag = "4")]
     End(End),
-    /// Tells all entry VMs how many upstreams a request has cost.
-    #[prost(message, tag = "5")]
-    Loss(Loss),
 }
 
 /// A request that wants to run.
@@ -56,17 +53,6 @@
     pub outcome: i32,
 }
 
-/// Upstreams that a request has cost.
-#[derive(Clone, PartialEq, prost::Message)]
-pub struct Loss {
-    /// Fingerprint, sixteen bytes.
-    #[prost(bytes = "vec", tag = "1")]
-    pub fingerprint: Vec<u8>,
-    /// How many.
-    #[prost(uint32, tag = "2")]
-    pub lost: u32,
-}
-
 /// Whether a request may run.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, prost::Enumeration)]
 #[repr(i32)]
--- /dev/null
+++ b/tests/online.rs
@@ -0,0 +1,43 @@
+//! Random runs of the online path's decisions.
+
+use parsleybeam::route::simulate::{Report, simulate};
+
+/// Runs of one test.
+const RUNS: u64 = 12;
+/// Events of one run.
+const STEPS: u32 = 30_000;
+
+/// Reads one figure of a report.
+type Count = fn(&Report) -> u32;
+
+fn total(reports: &[Report], count: Count) -> u32 {
+    reports.iter().map(count).sum()
+}
+
+#[test]
+fn simulate_keeps_rules() {
+    let run = |seed| match simulate(seed, STEPS) {
+        Ok(report) => report,
+        Err(violation) => panic!("seed {seed}: {violation}"),
+    };
+    let reports: Vec<Report> = (0..RUNS).map(run).collect();
+    // Each fault must have been met, or the rules were never tried.
+    let counts: [(&str, Count); 8] = [
+        ("whole", |report| report.whole),
+        ("not run", |report| report.not_run),
+        ("unknown", |report| report.unknown),
+        ("quarantined", |report| report.quarantined),
+        ("kept", |report| report.kept),
+        ("resumes", |report| report.resumes),
+        ("dropped", |report| report.dropped),
+        ("VMs lost", |report| report.vms_lost),
+    ];
+    for (what, count) in counts {
+        assert!(total(&reports, count) > 0, "never met: {what}");
+    }
+}
+
+#[test]
+fn simulate_repeats() {
+    assert_eq!(simulate(7, 5_000), simulate(7, 5_000));
+}
