--- /dev/null
+++ b/programs/tests/scenarios.rs
@@ -0,0 +1,45 @@
+//! The scenarios that need real processes; one file each in `scenarios/`.
+
+mod common;
+
+use common::stage::Stage;
+use common::turn::Turn;
+
+fn play(name: &str) {
+    let _turn = Turn::wait();
+    let system = actix_rt::System::new();
+    let mut stage = Stage::default();
+    let path = format!("{}/tests/scenarios/{name}.txt", env!("CARGO_MANIFEST_DIR"));
+    datadriven::walk(&path, |file| {
+        file.run(|case| system.block_on(stage.perform(case.clone())));
+    });
+}
+
+macro_rules! scenarios {
+    ($($name:ident)*) => {
+        $(
+            #[test]
+            fn $name() {
+                play(stringify!($name));
+            }
+        )*
+
+        #[test]
+        fn scenarios_all_listed() {
+            let folder = concat!(env!("CARGO_MANIFEST_DIR"), "/tests/scenarios");
+            let files = std::fs::read_dir(folder).expect("a folder").count();
+            assert_eq!(files, [$(stringify!($name)),*].len());
+        }
+    };
+}
+
+scenarios! {
+    withdrawn_key_idle
+    withdrawn_key_stream
+    poison_two_engines
+    caller_gone
+    lost_replies
+    frozen_past_lease
+    engine_killed_stream
+    operators_race
+}
--- a/src/wire/client.rs
+++ b/src/wire/client.rs
@@ -78,7 +78,8 @@
         let (sender, receiver) = oneshot::channel();
         link.waiting.lock().insert(call, sender);
         let _forget = Forget { call, waiting: link.waiting.clone() };
-        link.calls.send(Frame::call(call, body)).await.map_err(|_| self.lost())?;
+        let frame = Frame { call, answer: false, body: Some(body) };
+        link.calls.send(frame).await.map_err(|_| self.lost())?;
         receiver.await.map_err(|_| self.lost())?
     }
 
--- a/src/wire/frame.rs
+++ b/src/wire/frame.rs
@@ -2,7 +2,6 @@
 
 use super::{batch, config, limits, member, online};
 use crate::error::{Error, Kind};
-use crate::trace;
 
 /// One message on a connection.
 #[derive(Clone, PartialEq, prost::Message)]
@@ -16,22 +15,6 @@
     /// What is said.
     #[prost(oneof = "Body", tags = "3, 4, 5, 6, 7, 8, 9, 10")]
     pub body: Option<Body>,
-    /// W3C trace context of the caller's span.
-    #[prost(string, optional, tag = "11")]
-    pub traceparent: Option<String>,
-}
-
-impl Frame {
-    /// A call made within the current span.
-    pub fn call(call: u64, body: Body) -> Self {
-        let traceparent = trace::traceparent(&tracing::Span::current());
-        Self { call, answer: false, body: Some(body), traceparent }
-    }
-
-    /// The answer to a call.
-    pub fn answer(call: u64, body: Body) -> Self {
-        Self { call, answer: true, body: Some(body), traceparent: None }
-    }
 }
 
 /// What a frame says.
@@ -82,20 +65,6 @@
     pub digest: Vec<u8>,
 }
 
-impl Body {
-    /// The area that owns the message, for traces and metrics.
-    pub fn area(&self) -> &'static str {
-        match self {
-            Body::Hello(_) | Body::Proof(_) | Body::Fault(_) => "connection",
-            Body::Member(_) => "member",
-            Body::Config(_) => "config",
-            Body::Limits(_) => "limits",
-            Body::Online(_) => "online",
-            Body::Batch(_) => "batch",
-        }
-    }
-}
-
 /// A failed call.
 #[derive(Clone, PartialEq, prost::Message)]
 pub struct Fault {
--- a/src/wire/proof.rs
+++ b/src/wire/proof.rs
@@ -69,7 +69,7 @@
 }
 
 async fn send(connection: &mut Connection, body: Body) -> Result<()> {
-    connection.send(Frame::call(0, body)).await
+    connection.send(Frame { call: 0, answer: false, body: Some(body) }).await
 }
 
 async fn receive(connection: &mut Connection) -> Result<Body> {
--- a/src/wire/server.rs
+++ b/src/wire/server.rs
@@ -9,7 +9,6 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::mpsc;
 use tokio_util::codec::Framed;
-use tracing::{Instrument, Span};
 
 use super::proof::{Connection, Side, exchange};
 use super::{Body, Codec, Fault, Frame};
@@ -17,7 +16,6 @@
 use crate::error::Result;
 use crate::event::Event;
 use crate::id::Vm;
-use crate::trace;
 
 /// Bound on the mutual proof.
 const PROOF_TIMEOUT: Duration = Duration::from_secs(2);
@@ -92,25 +90,14 @@
         while let Some(Ok(frame)) = calls.next().await {
             let Some(body) = frame.body else { continue };
             let (handler, answers, peer) = (self.handler.clone(), answers.clone(), peer.clone());
-            let span = hop(&peer, &body, frame.traceparent.as_deref());
-            let answer = async move {
+            actix_rt::spawn(async move {
                 let body = match handler.handle(peer, body).await {
                     Ok(body) => body,
                     Err(error) => Body::Fault(Fault::from(&error)),
                 };
-                let _ = answers.send(Frame::answer(frame.call, body)).await;
-            };
-            actix_rt::spawn(answer.instrument(span));
+                let _ =
+                    answers.send(Frame { call: frame.call, answer: true, body: Some(body) }).await;
+            });
         }
     }
 }
-
-/// The span of a call that belongs to a trace; gossip belongs to none.
-fn hop(peer: &Peer, body: &Body, traceparent: Option<&str>) -> Span {
-    if traceparent.is_none() {
-        return Span::none();
-    }
-    let span = tracing::info_span!("peer", area = body.area(), caller = %peer.vm);
-    trace::adopt(&span, traceparent);
-    span
-}
--- /dev/null
+++ b/standins/src/bench/experiment/tail.rs
@@ -0,0 +1,42 @@
+//! Online tail latency while one replica is slow.
+
+use parsleybeam::admission::Pick;
+use parsleybeam::admission::queue::Order;
+
+use super::measure::{Latency, RandomPick, by_organisation, offer};
+use crate::bench::world::World;
+use crate::bench::{Curve, Figure, Outcome, Setup, Target};
+
+/// Speed of the slow replica against the others.
+const SLOW: f64 = 0.25;
+/// First token for 95 in 100, from the letter, in milliseconds.
+const FIRST_TOKEN_MS: f64 = 1_100.0;
+
+pub(super) fn run(setup: &Setup) -> Outcome {
+    let random = serve(setup, Box::new(RandomPick::new(setup.seed)));
+    let ours = serve(setup, Box::new(RandomPick::new(setup.seed + 1)));
+    let figure = |name: &str, quantile: f64| {
+        Figure::new(name, ours.quantile_ms(quantile), "ms")
+            .against("random choice", random.quantile_ms(quantile))
+    };
+    let figures = vec![
+        figure("first token p50", 0.5),
+        figure("first token p95", 0.95).target(Target::AtMost(FIRST_TOKEN_MS)),
+        figure("first token p99", 0.99).target(Target::AtMostBaseline),
+    ];
+    let curves = vec![
+        Curve { name: "pick".into(), points: ours.curve() },
+        Curve { name: "random choice".into(), points: random.curve() },
+    ];
+    Outcome { figures, curves, across: "percent of requests", up: "first token, ms" }
+}
+
+fn serve(setup: &Setup, pick: Box<dyn Pick>) -> Latency {
+    let site = &setup.site;
+    let mut speeds = vec![1.0; site.replicas];
+    speeds[0] = SLOW;
+    let mut world = World::new(site.organisations(), site.entries, &speeds, Order::Fair, pick);
+    offer(&mut world, site, site.rates, setup.seconds, setup.seed);
+    let services = by_organisation(&world, site.rates.len());
+    Latency::of(services.into_iter().flat_map(|service| service.first))
+}
--- a/standins/src/bin/parsleybeam-bench.rs
+++ b/standins/src/bin/parsleybeam-bench.rs
@@ -1,3 +1,161 @@
-//! Runs experiments and random runs against the stand-ins.
+//! Runs experiments and random runs.
 
-fn main() {}
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+use gumdrop::{Options, ParsingStyle};
+use standins::bench::experiment;
+use standins::bench::{Report, Setup, Site, plot, random};
+
+/// Exit code for wrong arguments.
+const BAD_ARGUMENTS: u8 = 2;
+
+/// Measures parsleybeam against its promises.
+#[derive(Debug, Options)]
+struct Arguments {
+    /// print this help
+    help: bool,
+    #[options(command)]
+    command: Option<Command>,
+}
+
+#[derive(Debug, Options)]
+enum Command {
+    /// name the experiments and the random runs
+    List(List),
+    /// run an experiment; exit 1 when a target isn't kept
+    Run(Run),
+    /// make a random run; exit 1 when an invariant breaks
+    Random(Random),
+}
+
+#[derive(Debug, Options)]
+struct List {
+    /// print this help
+    help: bool,
+}
+
+#[derive(Debug, Options)]
+struct Run {
+    /// print this help
+    help: bool,
+    #[options(free, required, help = "experiment")]
+    name: String,
+    /// seed of all that is drawn
+    #[options(no_short, default = "1")]
+    seed: u64,
+    /// length of the load
+    #[options(no_short, default = "60")]
+    seconds: u64,
+    /// output: json or table
+    #[options(short = "o", default = "table")]
+    output: String,
+    /// site whose sizes are used: limpa-norte or jadranka
+    #[options(no_short, default = "limpa-norte")]
+    site: String,
+    /// write the curves as SVG
+    #[options(no_short, meta = "FILE")]
+    plot: Option<PathBuf>,
+}
+
+#[derive(Debug, Options)]
+struct Random {
+    /// print this help
+    help: bool,
+    #[options(free, required, help = "random run")]
+    name: String,
+    /// seed of all that is drawn
+    #[options(no_short, default = "1")]
+    seed: u64,
+    /// number of steps
+    #[options(no_short, default = "100000")]
+    steps: u64,
+}
+
+fn main() -> ExitCode {
+    let words: Vec<String> = std::env::args().skip(1).collect();
+    let arguments = match Arguments::parse_args(&words, ParsingStyle::AllOptions) {
+        Ok(arguments) => arguments,
+        Err(mistake) => return wrong(&format!("{mistake}; see parsleybeam-bench --help")),
+    };
+    if arguments.help_requested() {
+        println!("{}", help(&arguments));
+        return ExitCode::SUCCESS;
+    }
+    match arguments.command {
+        Some(Command::List(_)) => list(),
+        Some(Command::Run(options)) => run(&options),
+        Some(Command::Random(options)) => random_run(&options),
+        None => wrong("name a command; see parsleybeam-bench --help"),
+    }
+}
+
+fn help(arguments: &Arguments) -> String {
+    let mut text = format!("Usage: parsleybeam-bench [OPTIONS]\n\n{}", arguments.self_usage());
+    if let Some(commands) = arguments.self_command_list() {
+        text.push_str("\n\nCommands:\n");
+        text.push_str(commands);
+    }
+    text
+}
+
+fn wrong(reason: &str) -> ExitCode {
+    eprintln!("parsleybeam-bench: {reason}");
+    ExitCode::from(BAD_ARGUMENTS)
+}
+
+fn list() -> ExitCode {
+    for experiment in experiment::ALL {
+        println!("run {:<12} {}", experiment.name, experiment.about);
+    }
+    for (name, _) in random::RUNS {
+        println!("random {name}");
+    }
+    ExitCode::SUCCESS
+}
+
+fn run(options: &Run) -> ExitCode {
+    let Some(experiment) = experiment::find(&options.name) else {
+        return wrong(&format!("no experiment {}; see parsleybeam-bench list", options.name));
+    };
+    let site: Site = match options.site.parse() {
+        Ok(site) => site,
+        Err(error) => return wrong(&format!("{error}")),
+    };
+    let setup = Setup { site, seed: options.seed, seconds: options.seconds };
+    let outcome = (experiment.run)(&setup);
+    if let Some(path) = &options.plot
+        && let Err(error) = plot::write(path, experiment.name, &outcome)
+    {
+        return wrong(&format!("{}: {error}", path.display()));
+    }
+    let report = Report {
+        name: experiment.name.into(),
+        site: setup.site.name.into(),
+        seed: setup.seed,
+        seconds: setup.seconds,
+        figures: outcome.figures,
+    };
+    match options.output.as_str() {
+        "json" => println!("{}", serde_json::to_string(&report).unwrap_or_default()),
+        _ => print!("{}", report.table()),
+    }
+    if report.holds() { ExitCode::SUCCESS } else { ExitCode::FAILURE }
+}
+
+fn random_run(options: &Random) -> ExitCode {
+    let Some(run) = random::find(&options.name) else {
+        return wrong(&format!("no random run {}; see parsleybeam-bench list", options.name));
+    };
+    println!("seed {} steps {}", options.seed, options.steps);
+    match run(options.seed, options.steps) {
+        Ok(summary) => {
+            println!("{summary}");
+            ExitCode::SUCCESS
+        }
+        Err(history) => {
+            println!("{history}");
+            ExitCode::FAILURE
+        }
+    }
+}
--- a/standins/src/engine/mod.rs
+++ b/standins/src/engine/mod.rs
@@ -19,6 +19,7 @@
 use cache::Cache;
 use load::Load;
 use orders::Orders;
+pub use run::Cancelled;
 use run::Runs;
 
 /// How the stand-in behaves.
--- a/standins/src/engine/routes.rs
+++ b/standins/src/engine/routes.rs
@@ -10,7 +10,7 @@
 use super::cache::{self, Cache};
 use super::load::{Load, Report};
 use super::orders::{Order, Orders, State};
-use super::run::{Run, Runs};
+use super::run::{self, Run, Runs};
 use super::token;
 use crate::faults::Faults;
 use crate::record::{REQUEST_ID, Record};
@@ -82,7 +82,8 @@
         let prompt = wanted.whole_prompt();
         self.runs.swallow(&prompt);
         let hit = self.cache.touch(token::prefix(&prompt));
-        let run = Run::start(self.runs, self.faults.clone(), request, id.clone(), hit);
+        let ended = run::Cancelled { id: id.clone(), prompt: prompt.clone() };
+        let run = Run::start(self.runs, self.faults.clone(), request, ended, hit);
         let shown = shown_id(&self.faults, id);
         let answer = Answer { id: shown, prompt, request: wanted, chat };
         if answer.request.stream { answer.stream(run) } else { answer.whole(run).await }
@@ -175,15 +176,15 @@
 
 /// Whether a request was found to cancel.
 #[derive(Serialize)]
-pub(super) struct Cancelled {
+pub(super) struct Found {
     cancelled: bool,
 }
 
-pub(super) async fn cancel(runs: Data<Runs>, wanted: Json<Cancel>) -> Json<Cancelled> {
-    Json(Cancelled { cancelled: runs.cancel(&wanted.id) })
+pub(super) async fn cancel(runs: Data<Runs>, wanted: Json<Cancel>) -> Json<Found> {
+    Json(Found { cancelled: runs.cancel(&wanted.id) })
 }
 
-pub(super) async fn cancelled(runs: Data<Runs>) -> Json<Vec<String>> {
+pub(super) async fn cancelled(runs: Data<Runs>) -> Json<Vec<run::Cancelled>> {
     Json(runs.cancelled())
 }
 
--- a/standins/src/engine/run.rs
+++ b/standins/src/engine/run.rs
@@ -20,12 +20,21 @@
 /// Longest time between two looks at the caller's connection.
 const LOOK: Duration = Duration::from_millis(20);
 
+/// A request that ended before its answer was whole.
+#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+pub struct Cancelled {
+    /// Its identifier.
+    pub id: String,
+    /// Its prompt.
+    pub prompt: String,
+}
+
 pub(super) struct Runs {
     options: Options,
     lifeline: Arc<Lifeline>,
     active: AtomicU32,
     flags: Mutex<HashMap<String, Vec<Arc<AtomicBool>>>>,
-    cancelled: Mutex<Vec<String>>,
+    cancelled: Mutex<Vec<Cancelled>>,
 }
 
 impl Runs {
@@ -63,7 +72,7 @@
     }
 
     /// Requests that ended before their answer was whole.
-    pub(super) fn cancelled(&self) -> Vec<String> {
+    pub(super) fn cancelled(&self) -> Vec<Cancelled> {
         self.cancelled.lock().clone()
     }
 
@@ -85,7 +94,7 @@
     runs: Data<Runs>,
     faults: Data<Faults>,
     request: HttpRequest,
-    id: String,
+    ended: Cancelled,
     flag: Arc<AtomicBool>,
     next: actix_rt::time::Instant,
     pub(super) finished: bool,
@@ -96,14 +105,14 @@
         runs: Data<Runs>,
         faults: Data<Faults>,
         request: HttpRequest,
-        id: String,
+        ended: Cancelled,
         hit: bool,
     ) -> Self {
         runs.active.fetch_add(1, Ordering::SeqCst);
         let flag = Arc::new(AtomicBool::new(false));
-        runs.flags.lock().entry(id.clone()).or_default().push(flag.clone());
+        runs.flags.lock().entry(ended.id.clone()).or_default().push(flag.clone());
         let next = actix_rt::time::Instant::now() + runs.first_token_time(hit);
-        Self { runs, faults, request, id, flag, next, finished: false }
+        Self { runs, faults, request, ended, flag, next, finished: false }
     }
 
     /// Waits for the next token's time; false if the request was cancelled.
@@ -127,14 +136,14 @@
     fn drop(&mut self) {
         self.runs.active.fetch_sub(1, Ordering::SeqCst);
         let mut flags = self.runs.flags.lock();
-        if let Some(found) = flags.get_mut(&self.id) {
+        if let Some(found) = flags.get_mut(&self.ended.id) {
             found.retain(|flag| !Arc::ptr_eq(flag, &self.flag));
             if found.is_empty() {
-                flags.remove(&self.id);
+                flags.remove(&self.ended.id);
             }
         }
         if !self.finished {
-            self.runs.cancelled.lock().push(self.id.clone());
+            self.runs.cancelled.lock().push(self.ended.clone());
         }
     }
 }
--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -4,6 +4,7 @@
 //! loopback port and can be told to fail: by its handle when embedded, by
 //! `POST /standin/faults` when it runs as a process.
 
+pub mod bench;
 pub mod engine;
 pub mod faults;
 pub mod kv;
--- a/standins/src/plain.rs
+++ b/standins/src/plain.rs
@@ -63,6 +63,7 @@
             .app_data(self.record.clone())
             .app_data(Data::new(Duration::from_millis(self.work_ms)))
             .route("/standin/counts", web::get().to(counts))
+            .route("/standin/bodies", web::get().to(bodies))
             .route("/standin/seen", web::get().to(seen))
             .default_service(web::to(run));
     }
@@ -72,6 +73,10 @@
     web::Json(record.seen(&Search::default()).runs)
 }
 
+async fn bodies(record: Data<Record>) -> web::Json<BTreeMap<String, u64>> {
+    web::Json(record.bodies())
+}
+
 pub(crate) async fn seen(record: Data<Record>, search: web::Query<Search>) -> web::Json<Seen> {
     web::Json(record.seen(&search))
 }
@@ -84,9 +89,10 @@
     body: Bytes,
 ) -> HttpResponse {
     let id = record.note(&request, &body);
+    let body = String::from_utf8_lossy(&body).into_owned();
+    record.note_body(&body);
     actix_rt::time::sleep(**work).await;
     let run = record.seen(&Search::default()).runs.get(&id).copied().unwrap_or_default();
-    let body = String::from_utf8_lossy(&body).into_owned();
     let shown = if faults.cross_answer() { "another-request".to_owned() } else { id };
     HttpResponse::Ok().insert_header((REQUEST_ID, shown.clone())).json(Receipt {
         id: shown,
--- a/standins/src/record.rs
+++ b/standins/src/record.rs
@@ -21,6 +21,7 @@
 #[derive(Debug, Default)]
 struct State {
     runs: BTreeMap<String, u64>,
+    bodies: BTreeMap<String, u64>,
     raw: VecDeque<Vec<u8>>,
 }
 
@@ -62,6 +63,16 @@
         id
     }
 
+    /// Notes a body whose runs are to be counted, whatever their identifiers.
+    pub fn note_body(&self, body: &str) {
+        *self.state.lock().bodies.entry(body.to_owned()).or_default() += 1;
+    }
+
+    /// Runs by body.
+    pub fn bodies(&self) -> BTreeMap<String, u64> {
+        self.state.lock().bodies.clone()
+    }
+
     /// Runs by request, and whether `search` was seen.
     pub fn seen(&self, search: &Search) -> Seen {
         let state = self.state.lock();
--- a/standins/tests/engine.rs
+++ b/standins/tests/engine.rs
@@ -71,7 +71,7 @@
         let body = json!({"model": "m", "prompt": "duct", "max_tokens": 10_000});
         let started = time::timeout(Duration::from_millis(200), post(&engine, "r1", &body)).await;
         assert!(started.is_err(), "still running");
-        while get(&engine, "/standin/cancelled").await != json!(["r1"]) {
+        while get(&engine, "/standin/cancelled").await != json!([{"id": "r1", "prompt": "duct"}]) {
             time::sleep(Duration::from_millis(5)).await;
         }
     });
