Measure tail and fairness on the product's own decisions

The queue, the choice of an upstream and the home VMs are the product's; the engines follow the stand-in's arithmetic on a virtual clock. Random runs config, online and segments are wired by name.

--- a/standins/src/bench/experiment/fairness.rs
+++ b/standins/src/bench/experiment/fairness.rs
@@ -2,7 +2,7 @@
 
 use parsleybeam::admission::queue::Order;
 
-use super::measure::{Latency, RandomPick, Service, by_organisation, offer};
+use super::measure::{Latency, Service, balanced_choices, by_organisation, offer};
 use crate::bench::world::World;
 use crate::bench::{Curve, Figure, Outcome, Setup, Target};
 
@@ -46,8 +46,8 @@
 fn serve(setup: &Setup, order: Order) -> Vec<Service> {
     let site = &setup.site;
     let speeds = vec![1.0; site.replicas];
-    let pick = Box::new(RandomPick::new(setup.seed));
-    let mut world = World::new(site.organisations(), site.entries, &speeds, order, pick);
+    let choices = balanced_choices(site, setup.seed);
+    let mut world = World::new(site.organisations(), choices, &speeds, order);
     let mut rates = site.rates.to_vec();
     rates[0] *= FLOOD;
     offer(&mut world, site, &rates, setup.seconds, setup.seed);
--- a/standins/src/bench/experiment/measure.rs
+++ b/standins/src/bench/experiment/measure.rs
@@ -1,16 +1,18 @@
 //! Load and measurement that the experiments share.
 
+use std::sync::Arc;
+
 use hdrhistogram::Histogram;
-use parking_lot::Mutex;
-use parsleybeam::admission::home;
-use parsleybeam::admission::{Pick, Ticket};
+use parsleybeam::admission::{Pick, home};
 use parsleybeam::clock::Time;
 use parsleybeam::id::Upstream;
+use parsleybeam::route::{Balance, Random, Report};
+use parsleybeam::view::{Member, Shared};
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
 use crate::bench::site::Site;
-use crate::bench::world::{End, Job, TICK, World};
+use crate::bench::world::{CAPACITY, Choice, End, Job, TICK, World};
 
 /// Time that a caller waits for the whole answer, in milliseconds.
 pub const PATIENCE_MS: u64 = 15_000;
@@ -109,21 +111,49 @@
     }
 }
 
-/// Chooses any upstream that has room.
-pub struct RandomPick(Mutex<ChaCha8Rng>);
+/// Random choice, for each VM.
+pub fn random_choices(site: &Site, seed: u64) -> Vec<Box<dyn Choice>> {
+    let choice = |number| Box::new(Drawn(Random::new(seed + number as u64))) as Box<dyn Choice>;
+    (0..site.entries).map(choice).collect()
+}
+
+struct Drawn(Random);
 
-impl RandomPick {
-    pub fn new(seed: u64) -> Self {
-        Self(Mutex::new(ChaCha8Rng::seed_from_u64(seed)))
+impl Choice for Drawn {
+    fn pick(&self) -> &dyn Pick {
+        &self.0
     }
 }
 
-impl Pick for RandomPick {
-    fn pick(&self, _: &Ticket, free: &[Upstream], _: Time) -> Option<Upstream> {
-        if free.is_empty() {
-            return None;
-        }
-        let place = self.0.lock().random_range(0..free.len());
-        Some(free[place].clone())
+/// The product's choice, for each VM.
+pub fn balanced_choices(site: &Site, seed: u64) -> Vec<Box<dyn Choice>> {
+    let shared = Shared::default();
+    shared.view.store(Arc::new(site.view(CAPACITY)));
+    let choice = |(number, member): (usize, Member)| {
+        let balance = Balance::new(member.vm, shared.clone(), seed + number as u64);
+        Box::new(Balanced(balance)) as Box<dyn Choice>
+    };
+    site.members().into_iter().enumerate().map(choice).collect()
+}
+
+struct Balanced(Balance);
+
+impl Choice for Balanced {
+    fn pick(&self) -> &dyn Pick {
+        &self.0
+    }
+
+    fn started(&self, upstream: &Upstream) {
+        self.0.started(upstream);
+    }
+
+    fn ended(&self, upstream: &Upstream, now: Time) {
+        self.0.ended(upstream);
+        self.0.succeeded(upstream, now);
+    }
+
+    fn report(&self, upstream: &Upstream, running: u32, at: Time) {
+        let (running, waiting) = (running.min(CAPACITY), running.saturating_sub(CAPACITY));
+        self.0.report(upstream, Report { running, waiting, at });
     }
 }
--- a/standins/src/bench/experiment/tail.rs
+++ b/standins/src/bench/experiment/tail.rs
@@ -1,10 +1,9 @@
 //! Online tail latency while one replica is slow.
 
-use parsleybeam::admission::Pick;
 use parsleybeam::admission::queue::Order;
 
-use super::measure::{Latency, RandomPick, by_organisation, offer};
-use crate::bench::world::World;
+use super::measure::{Latency, balanced_choices, by_organisation, offer, random_choices};
+use crate::bench::world::{Choice, World};
 use crate::bench::{Curve, Figure, Outcome, Setup, Target};
 
 /// Speed of the slow replica against the others.
@@ -13,8 +12,8 @@
 const FIRST_TOKEN_MS: f64 = 1_100.0;
 
 pub(super) fn run(setup: &Setup) -> Outcome {
-    let random = serve(setup, Box::new(RandomPick::new(setup.seed)));
-    let ours = serve(setup, Box::new(RandomPick::new(setup.seed + 1)));
+    let random = serve(setup, random_choices(&setup.site, setup.seed));
+    let ours = serve(setup, balanced_choices(&setup.site, setup.seed));
     let figure = |name: &str, quantile: f64| {
         Figure::new(name, ours.quantile_ms(quantile), "ms")
             .against("random choice", random.quantile_ms(quantile))
@@ -25,17 +24,17 @@
         figure("first token p99", 0.99).target(Target::AtMostBaseline),
     ];
     let curves = vec![
-        Curve { name: "pick".into(), points: ours.curve() },
+        Curve { name: "two choices by load".into(), points: ours.curve() },
         Curve { name: "random choice".into(), points: random.curve() },
     ];
     Outcome { figures, curves, across: "percent of requests", up: "first token, ms" }
 }
 
-fn serve(setup: &Setup, pick: Box<dyn Pick>) -> Latency {
+fn serve(setup: &Setup, choices: Vec<Box<dyn Choice>>) -> Latency {
     let site = &setup.site;
     let mut speeds = vec![1.0; site.replicas];
     speeds[0] = SLOW;
-    let mut world = World::new(site.organisations(), site.entries, &speeds, Order::Fair, pick);
+    let mut world = World::new(site.organisations(), choices, &speeds, Order::Fair);
     offer(&mut world, site, site.rates, setup.seconds, setup.seed);
     let services = by_organisation(&world, site.rates.len());
     Latency::of(services.into_iter().flat_map(|service| service.first))
--- a/standins/src/bench/random.rs
+++ b/standins/src/bench/random.rs
@@ -4,11 +4,31 @@
 type Run = fn(u64, u64) -> Result<String, String>;
 
 /// Every random run, by name.
-pub const RUNS: &[(&str, Run)] = &[("segments", segments)];
+pub const RUNS: &[(&str, Run)] = &[("config", config), ("online", online), ("segments", segments)];
+
+fn config(seed: u64, steps: u64) -> Result<String, String> {
+    told(parsleybeam::member::simulate::simulate(seed, short(steps)))
+}
+
+fn online(seed: u64, steps: u64) -> Result<String, String> {
+    told(parsleybeam::route::simulate::simulate(seed, short(steps)))
+}
 
 fn segments(seed: u64, steps: u64) -> Result<String, String> {
-    let report = parsleybeam::segment::simulate(seed, steps);
-    report.map(|report| format!("{report:?}")).map_err(|found| found.to_string())
+    told(parsleybeam::segment::simulate(seed, steps))
+}
+
+/// The number of steps for runs that count in 32 bits.
+fn short(steps: u64) -> u32 {
+    u32::try_from(steps).unwrap_or(u32::MAX)
+}
+
+fn told<R, V>(ended: Result<R, V>) -> Result<String, String>
+where
+    R: std::fmt::Debug,
+    V: std::fmt::Display,
+{
+    ended.map(|report| format!("{report:?}")).map_err(|found| found.to_string())
 }
 
 /// Finds a run.
--- a/standins/src/bench/site.rs
+++ b/standins/src/bench/site.rs
@@ -1,9 +1,11 @@
 //! Sizes of the two sites that run parsleybeam today.
 
+use std::net::SocketAddr;
 use std::str::FromStr;
 
+use parsleybeam::config::resource;
 use parsleybeam::id::{DataCentre, Organisation, Vm};
-use parsleybeam::view::{Member, Role, State};
+use parsleybeam::view::{Member, Role, State, Upstream, View};
 
 /// Sizes and distances.
 #[derive(Clone, Debug, PartialEq)]
@@ -70,8 +72,30 @@
         (0..self.entries).map(|number| self.member(number)).collect()
     }
 
+    /// A view of its entry VMs and its replicas.
+    pub fn view(&self, capacity: u32) -> View {
+        let members = self.members().into_iter().map(|member| (member.vm.clone(), member));
+        let upstreams = (0..self.replicas).map(|number| self.upstream(number, capacity));
+        View {
+            members: members.collect(),
+            upstreams: upstreams.map(|upstream| (upstream.name.clone(), upstream)).collect(),
+            ..View::default()
+        }
+    }
+
+    fn upstream(&self, number: usize, capacity: u32) -> Upstream {
+        let spec = resource::Upstream {
+            address: SocketAddr::from(([127, 0, 0, 1], number as u16 + 1)),
+            data_centre: DataCentre::from(self.data_centres[number % self.data_centres.len()]),
+            serves: resource::Serves::Model("notes".into()),
+            capacity,
+            fenced: true,
+        };
+        Upstream { name: format!("engine-{number}").into(), spec, state: State::Live }
+    }
+
     fn member(&self, number: usize) -> Member {
-        let address = std::net::SocketAddr::from(([127, 0, 0, 1], number as u16 + 1));
+        let address = SocketAddr::from(([127, 0, 0, 1], number as u16 + 1));
         Member {
             vm: Vm::from(format!("entry-{number}")),
             incarnation: 1,
--- a/standins/src/bench/world.rs
+++ b/standins/src/bench/world.rs
@@ -65,10 +65,29 @@
 }
 
 struct Entry {
+    choice: Box<dyn Choice>,
     queue: Queue,
     waiting: HashMap<u64, Job>,
 }
 
+/// How a VM chooses an engine, and what it is told of its choices.
+pub trait Choice {
+    /// The choice itself.
+    fn pick(&self) -> &dyn Pick;
+
+    /// A request was sent.
+    fn started(&self, _upstream: &Upstream) {}
+
+    /// A request was answered.
+    fn ended(&self, _upstream: &Upstream, _now: Time) {}
+
+    /// An engine reports its load, with a lag.
+    fn report(&self, _upstream: &Upstream, _running: u32, _at: Time) {}
+}
+
+/// Time between load reports of an engine.
+const REPORT_PERIOD: Duration = Duration::from_millis(200);
+
 /// Queues and engines.
 pub struct World {
     now: Time,
@@ -76,7 +95,7 @@
     organisations: Vec<Organisation>,
     entries: Vec<Entry>,
     engines: Vec<Engine>,
-    pick: Box<dyn Pick>,
+    next_report: Time,
     /// Ended requests with their organisation.
     pub ended: Vec<(usize, End)>,
 }
@@ -85,25 +104,25 @@
     /// Makes an idle world; each VM holds an equal part of each engine.
     pub fn new(
         organisations: Vec<Organisation>,
-        entries: usize,
+        choices: Vec<Box<dyn Choice>>,
         speeds: &[f64],
         order: Order,
-        pick: Box<dyn Pick>,
     ) -> Self {
         let target = Serves::Model(Model::from("notes"));
         let engines: Vec<_> =
             speeds.iter().enumerate().map(|(n, speed)| engine(n, *speed)).collect();
-        let limit = (CAPACITY / entries as u32).max(1);
+        let limit = (CAPACITY / choices.len() as u32).max(1);
         let slot = Slot { serves: target.clone(), limit, live: true };
         let slots: BTreeMap<_, _> =
             engines.iter().map(|engine| (engine.name.clone(), slot.clone())).collect();
-        let entry = || {
+        let entry = |choice| {
             let mut queue = Queue::new(order);
             queue.set_slots(slots.clone());
-            Entry { queue, waiting: HashMap::new() }
+            Entry { choice, queue, waiting: HashMap::new() }
         };
-        let entries = (0..entries).map(|_| entry()).collect();
-        Self { now: Time(0), target, organisations, entries, engines, pick, ended: Vec::new() }
+        let entries = choices.into_iter().map(entry).collect();
+        let (now, next_report) = (Time(0), Time(0));
+        Self { now, target, organisations, entries, engines, next_report, ended: Vec::new() }
     }
 
     /// The present.
@@ -137,11 +156,24 @@
         for place in 0..self.engines.len() {
             self.advance(place);
         }
+        if self.next_report.passed(self.now) {
+            self.report();
+        }
         for vm in 0..self.entries.len() {
             self.start(vm);
         }
     }
 
+    fn report(&mut self) {
+        self.next_report = self.now.after(REPORT_PERIOD);
+        for engine in &self.engines {
+            let running = engine.runs.len() as u32;
+            for entry in &self.entries {
+                entry.choice.report(&engine.name, running, self.now);
+            }
+        }
+    }
+
     fn start(&mut self, vm: usize) {
         let now = self.now;
         let entry = &mut self.entries[vm];
@@ -151,8 +183,9 @@
             .filter(|(_, job)| job.deadline.passed(now))
             .map(|(id, _)| *id)
             .collect();
-        for grant in entry.queue.start(&*self.pick, now) {
+        for grant in entry.queue.start(entry.choice.pick(), now) {
             let Some(job) = entry.waiting.remove(&grant.id) else { continue };
+            entry.choice.started(&grant.upstream);
             let left = f64::from(job.tokens);
             let run = Run { vm, job, started: now, first: FIRST_TOKEN_MS, left, first_token: None };
             if let Some(engine) =
@@ -188,6 +221,7 @@
         let name = engine.name.clone();
         for run in done {
             let held = run.started.until(self.now);
+            self.entries[run.vm].choice.ended(&name, self.now);
             self.entries[run.vm].queue.end(&self.target, &name, held);
             let first = run.first_token.map(|at| run.job.came.until(at)).unwrap_or_default();
             let whole = self.now <= run.job.deadline;
