Try claims, quarantine and choice of upstream case by case

Cause: the fleet's part of the quarantine, claims through two entries and the choice of upstream had no tests of their own, and an engine's 503 was passed on although another engine had room. An idempotent request that is turned away goes elsewhere once the budgets allow it; without another upstream the first one's answer stands.

--- a/src/filter/relay.rs
+++ b/src/filter/relay.rs
@@ -85,15 +85,30 @@
 async fn whole(attempt: Attempt, dispatch: &mut Dispatch) -> Result<Answer> {
     let mut attempt = attempt;
     loop {
-        match collect(&mut attempt).await {
+        let refusal = match collect(&mut attempt).await {
             Ok(body) => {
                 let Attempt { slot, status, content_type, .. } = attempt;
-                dispatch.succeeded(slot);
-                return Ok(Answer { status, content_type, body });
+                let answer = Answer { status, content_type, body };
+                if !dispatch.retryable(status) {
+                    dispatch.succeeded(slot);
+                    return Ok(answer);
+                }
+                if dispatch.turned_away(slot).is_err() {
+                    return Ok(answer);
+                }
+                Some(answer)
             }
-            Err(failure) => dispatch.failed(attempt.stop(), failure).await?,
-        }
-        attempt = dispatch.next(None, 0).await?;
+            Err(failure) => {
+                dispatch.failed(attempt.stop(), failure).await?;
+                None
+            }
+        };
+        attempt = match (dispatch.next(None, 0).await, refusal) {
+            (Ok(attempt), _) => attempt,
+            // No other upstream could serve it: this one's own answer stands.
+            (Err(_), Some(answer)) => return Ok(answer),
+            (Err(error), None) => return Err(error),
+        };
     }
 }
 
--- a/src/filter/send.rs
+++ b/src/filter/send.rs
@@ -21,6 +21,9 @@
 use crate::upstream::{Call, Failure, Part};
 use crate::view::{Digest, State, Upstream};
 
+/// Answers after which another upstream may serve an idempotent request.
+const RETRYABLE: [u16; 3] = [502, 503, 504];
+
 /// Sends requests.
 pub struct Send;
 
@@ -199,6 +202,24 @@
         self.course.failed(failure, now, || router.withdraw(organisation, &upstream, now))
     }
 
+    /// Whether a whole answer only says that the upstream can't serve now.
+    pub fn retryable(&self, status: u16) -> bool {
+        self.course.idempotent() && RETRYABLE.contains(&status)
+    }
+
+    /// Takes note of such an answer; fails when there may be no other attempt.
+    pub fn turned_away(&mut self, slot: Slot) -> Result<()> {
+        let Slot { guard, permit } = slot;
+        guard.whole();
+        let now = self.services.context.clock.now();
+        let upstream = permit.upstream.clone();
+        self.services.router.balance.failed(&upstream, now);
+        self.ticket.excluded.push(upstream.clone());
+        let (router, organisation) = (&self.services.router, &self.ticket.organisation);
+        let failure = Failure::Sent(Error::new(Kind::UpstreamFailed, "turned away"));
+        self.course.failed(failure, now, || router.withdraw(organisation, &upstream, now))
+    }
+
     /// Takes note of a whole answer.
     pub fn succeeded(&self, slot: Slot) {
         let now = self.services.context.clock.now();
--- a/src/route/quarantine.rs
+++ b/src/route/quarantine.rs
@@ -25,9 +25,11 @@
 use crate::view::{Member, Role};
 use crate::wire::{self, Handler, Peer, online};
 
-/// Bound on asking the owner.
+/// Bound on asking a keeper.
 const ASK_TIMEOUT: Duration = Duration::from_millis(150);
-/// How long an owner that gave no answer isn't asked.
+/// Bound on looking whether an upstream is alive.
+const PROBE_TIMEOUT: Duration = Duration::from_millis(500);
+/// How long a keeper that gave no answer isn't asked.
 const SILENCE: Duration = Duration::from_secs(2);
 /// Pause before a request that must wait is tried again.
 const RETRY_PAUSE: Duration = Duration::from_millis(10);
@@ -75,6 +77,7 @@
 
 struct Inner {
     context: Context,
+    timeout: Duration,
     poison: Mutex<Poison>,
     silent: Mutex<HashMap<Vm, Time>>,
     next: AtomicU64,
@@ -85,9 +88,15 @@
 impl Quarantine {
     /// Knows nothing yet.
     pub fn new(context: Context) -> Self {
+        Self::with_timeout(context, ASK_TIMEOUT)
+    }
+
+    /// As `new`, and waits `timeout` for a keeper's answer.
+    pub fn with_timeout(context: Context, timeout: Duration) -> Self {
         let (work, queue) = mpsc::channel(WORK_QUEUE);
         let inner = Inner {
             context,
+            timeout,
             poison: Mutex::default(),
             silent: Mutex::default(),
             // Random, so that a restarted VM's runs aren't taken for old ones.
@@ -208,7 +217,7 @@
     async fn call(&self, member: &Member, body: online::Body) -> Result<online::Body> {
         let message = wire::Body::Online(online::Message { body: Some(body) });
         let client = self.inner.context.peers.get(member.peer);
-        match client.call(message, ASK_TIMEOUT).await? {
+        match client.call(message, self.inner.timeout).await? {
             wire::Body::Online(online::Message { body: Some(body) }) => Ok(body),
             _ => Err(Error::new(Kind::Peer, "not an answer of this area")),
         }
@@ -388,7 +397,7 @@
 /// Ends a cancelled run by whether its upstream is alive.
 async fn probe(guard: Guard, address: SocketAddr) {
     tokio::time::sleep(LINGER).await;
-    match tokio::time::timeout(ASK_TIMEOUT, TcpStream::connect(address)).await {
+    match tokio::time::timeout(PROBE_TIMEOUT, TcpStream::connect(address)).await {
         Ok(Ok(_)) => drop(guard),
         Ok(Err(_)) | Err(_) => guard.died().await,
     }
--- a/tests/caller.rs
+++ b/tests/caller.rs
@@ -274,3 +274,55 @@
     let answer = problem(&get(request, ASK).await);
     assert_eq!(answer, (504, "deadline-exceeded".into(), "unknown".into()));
 }
+
+#[actix_rt::test]
+async fn call_poison_quarantined() {
+    let engines = [Engine::default(), Engine::default(), Engine::default()];
+    engines.iter().for_each(|engine| engine.acts([Act::Die, Act::Die]));
+    let entry = entry(view(&engines.each_ref().map(Engine::start), &[]), no_claims);
+    for _ in 0..3 {
+        let answer = problem(&get(post(&entry, "/v1/completions"), ASK).await);
+        assert_eq!(answer, (422, "quarantined".into(), "unknown".into()));
+        assert_eq!(engines.each_ref().map(Engine::count), [1, 1, 0]);
+    }
+}
+
+#[actix_rt::test]
+async fn call_withdrawn_while_waiting() {
+    let engine = Engine::default();
+    let entry = entry(view(&[engine.start()], &[]), no_claims);
+    *entry.hook.lock() = Some(|view| view.keys.clear());
+    let answer = problem(&get(post(&entry, "/v1/completions"), ASK).await);
+    assert_eq!(answer, (401, "key-refused".into(), "not-run".into()));
+    assert_eq!(engine.count(), 0);
+}
+
+#[actix_rt::test]
+async fn call_leaving_while_waiting() {
+    let (leaving, living) = (Engine::default(), Engine::default());
+    let entry = entry(view(&[leaving.start(), living.start()], &[]), no_claims);
+    *entry.hook.lock() = Some(|view| {
+        let first = view.upstreams.values_mut().next().expect("an upstream");
+        first.state = parsleybeam::view::State::Leaving;
+    });
+    assert_eq!(get(post(&entry, "/v1/completions"), ASK).await.0, 200);
+    assert_eq!((leaving.count(), living.count()), (0, 1));
+}
+
+#[actix_rt::test]
+async fn call_busy_tried_elsewhere() {
+    let (busy, living) = (Engine::default(), Engine::default());
+    busy.acts([Act::Busy]);
+    let entry = entry(view(&[busy.start(), living.start()], &[]), no_claims);
+    assert_eq!(get(post(&entry, "/v1/completions"), ASK).await.0, 200);
+    assert_eq!((busy.count(), living.count()), (1, 1));
+}
+
+#[actix_rt::test]
+async fn call_busy_everywhere() {
+    let busy = Engine::default();
+    busy.acts([Act::Busy]);
+    let entry = entry(view(&[busy.start()], &[]), no_claims);
+    assert_eq!(get(post(&entry, "/v1/completions"), ASK).await.0, 503);
+    assert_eq!(busy.count(), 1);
+}
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -45,18 +45,27 @@
     }
 }
 
+/// What happens to the view while a request waits.
+pub type Hook = Arc<Mutex<Option<fn(&mut View)>>>;
+
 /// Gives the first upstream that serves the target and isn't excluded.
 pub struct FirstLine {
     pub shared: Shared,
+    pub hook: Hook,
 }
 
 impl Line for FirstLine {
     fn enter(&self, ticket: Ticket) -> LocalBoxFuture<'_, Result<Permit>> {
-        let view = self.shared.load();
+        let granted = self.shared.load();
+        if let Some(hook) = self.hook.lock().take() {
+            let mut view = View::clone(&granted);
+            hook(&mut view);
+            self.shared.view.store(Arc::new(view));
+        }
         let fits = |upstream: &&Upstream| {
             upstream.spec.serves == ticket.target && !ticket.excluded.contains(&upstream.name)
         };
-        let permit = match view.upstreams.values().find(fits) {
+        let permit = match granted.upstreams.values().find(fits) {
             Some(upstream) => Ok(Permit::new(upstream.name.clone(), || ())),
             None => Err(Error::new(Kind::NoUpstream, "none is left")),
         };
@@ -83,6 +92,10 @@
     Hang,
     /// Sends events for ever.
     Trickle,
+    /// Says that it can't serve.
+    Busy,
+    /// Answers after a while.
+    Slow,
 }
 
 /// One request as an upstream saw it.
@@ -154,7 +167,10 @@
     let cut = Cut(engine.cut.clone());
     let asked: serde_json::Value = serde_json::from_slice(&body).unwrap_or_default();
     let from = asked["resume_from"].as_u64().unwrap_or(0) as u32;
-    let mut response = HttpResponse::Ok();
+    let mut response = match act {
+        Act::Busy => HttpResponse::ServiceUnavailable(),
+        _ => HttpResponse::Ok(),
+    };
     response.insert_header((
         "x-request-id",
         match act {
@@ -162,6 +178,9 @@
             _ => id.as_str(),
         },
     ));
+    if act == Act::Slow {
+        tokio::time::sleep(Duration::from_millis(200)).await;
+    }
     match act {
         Act::Hang | Act::Die => {
             if act == Act::Hang {
@@ -296,22 +315,26 @@
     pub context: Context,
     pub gate: Arc<OpenGate>,
     pub router: Arc<Router>,
+    pub hook: Hook,
 }
 
-pub type MakeClaims = fn() -> Option<std::rc::Rc<dyn Claims>>;
-
-pub fn entry(view: View, claims: MakeClaims) -> Entry {
+pub fn entry<F>(view: View, claims: F) -> Entry
+where
+    F: Fn() -> Option<std::rc::Rc<dyn Claims>> + Clone + Send + 'static,
+{
     let context = context(view);
     let gate = Arc::new(OpenGate::default());
     let router = Router::new(context.clone(), 1);
     actix_rt::spawn(router.quarantine.clone().run());
+    let hook = Hook::default();
     let (inner, inner_gate, inner_router) = (context.clone(), gate.clone(), router.clone());
+    let inner_hook = hook.clone();
     let server = HttpServer::new(move || {
         let clock: Arc<dyn Clock> = inner.clock.clone();
         let chain = Chain::new(Services {
             context: inner.clone(),
             gate: inner_gate.clone(),
-            line: Arc::new(FirstLine { shared: inner.shared.clone() }),
+            line: Arc::new(FirstLine { shared: inner.shared.clone(), hook: inner_hook.clone() }),
             client: std::rc::Rc::new(Http::new(clock)),
             router: inner_router.clone(),
             claims: claims(),
@@ -326,7 +349,7 @@
     .expect("bind");
     let address = server.addrs()[0];
     actix_rt::spawn(server.disable_signals().run());
-    Entry { address, context, gate, router }
+    Entry { address, context, gate, router, hook }
 }
 
 pub fn no_claims() -> Option<std::rc::Rc<dyn Claims>> {
--- a/tests/online.rs
+++ b/tests/online.rs
@@ -2,7 +2,7 @@
 
 use parsleybeam::route::simulate::{Report, simulate};
 
-/// Runs of one test.
+/// Runs of one test, unless `PARSLEYBEAM_RUNS` asks for another number.
 const RUNS: u64 = 12;
 /// Events of one run.
 const STEPS: u32 = 30_000;
@@ -10,6 +10,10 @@
 /// Reads one figure of a report.
 type Count = fn(&Report) -> u32;
 
+fn runs() -> u64 {
+    std::env::var("PARSLEYBEAM_RUNS").ok().and_then(|text| text.parse().ok()).unwrap_or(RUNS)
+}
+
 fn total(reports: &[Report], count: Count) -> u32 {
     reports.iter().map(count).sum()
 }
@@ -20,7 +24,7 @@
         Ok(report) => report,
         Err(violation) => panic!("seed {seed}: {violation}"),
     };
-    let reports: Vec<Report> = (0..RUNS).map(run).collect();
+    let reports: Vec<Report> = (0..runs()).map(run).collect();
     // Each fault must have been met, or the rules were never tried.
     let counts: [(&str, Count); 8] = [
         ("whole", |report| report.whole),
--- /dev/null
+++ b/tests/route.rs
@@ -0,0 +1,232 @@
+//! Choice of upstream, ejection, affinity and retry budgets.
+
+mod common;
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use parsleybeam::admission::{Pick, Ticket};
+use parsleybeam::clock::Time;
+use parsleybeam::config::resource::Serves;
+use parsleybeam::error::{Error, Kind};
+use parsleybeam::id::{Organisation, Upstream, Vm};
+use parsleybeam::route::{
+    Affinity, Balance, Budget, CacheEvent, CacheKind, Course, Health, Random, Report, RoundRobin,
+    subset,
+};
+use parsleybeam::upstream::Failure;
+use parsleybeam::view::Shared;
+
+const PREFIX: u64 = 42;
+const NOW: Time = Time(10_000_000);
+
+fn names(count: usize) -> Vec<Upstream> {
+    (0..count).map(|n| Upstream::from(format!("engine-{n}"))).collect()
+}
+
+fn ticket(prefix: Option<u64>) -> Ticket {
+    Ticket {
+        organisation: "limpa".into(),
+        target: Serves::Model("m".into()),
+        cost: 1,
+        deadline: Time::NEVER,
+        excluded: Vec::new(),
+        alone: false,
+        prefix,
+    }
+}
+
+fn balance() -> Balance {
+    let addresses = [([127, 0, 0, 1], 1).into(); 4];
+    let shared = Shared::default();
+    shared.view.store(std::sync::Arc::new(common::view(&addresses, &[])));
+    Balance::new("entry-0".into(), shared, 1)
+}
+
+fn stored(sequence: u64) -> CacheEvent {
+    CacheEvent { sequence, kind: CacheKind::Stored, prefix: PREFIX }
+}
+
+fn counts(pick: &dyn Pick, ticket: &Ticket, free: &[Upstream]) -> HashMap<Upstream, u32> {
+    let mut counts = HashMap::new();
+    for n in 0..400 {
+        // Far apart, so that earlier choices don't weigh.
+        let now = Time(NOW.0 + n * 1_000_000);
+        *counts.entry(pick.pick(ticket, free, now).expect("one is free")).or_default() += 1;
+    }
+    counts
+}
+
+#[test]
+fn pick_less_busy() {
+    let (balance, free) = (balance(), names(2));
+    for _ in 0..4 {
+        balance.started(&free[0]);
+    }
+    assert_eq!(counts(&balance, &ticket(None), &free).get(&free[0]), None);
+}
+
+#[test]
+fn pick_by_fading_report() {
+    let (balance, free) = (balance(), names(2));
+    balance.report(&free[0], Report { running: 8, waiting: 8, at: NOW });
+    assert_eq!(balance.pick(&ticket(None), &free, NOW), Some(free[1].clone()));
+    let later = NOW.after(Duration::from_secs(10));
+    balance.started(&free[1]);
+    assert_eq!(balance.pick(&ticket(None), &free, later), Some(free[0].clone()));
+}
+
+#[test]
+fn pick_prefix_holder_unless_busy() {
+    let (balance, free) = (balance(), names(4));
+    balance.cache(&free[2], stored(1));
+    let ticket = ticket(Some(PREFIX));
+    assert_eq!(counts(&balance, &ticket, &free).get(&free[2]), Some(&400));
+    for _ in 0..8 {
+        balance.started(&free[2]);
+    }
+    assert_eq!(counts(&balance, &ticket, &free).get(&free[2]), None);
+}
+
+#[test]
+fn pick_never_excluded() {
+    let (balance, free) = (balance(), names(2));
+    let mut ticket = ticket(None);
+    ticket.excluded = vec![free[0].clone()];
+    assert_eq!(counts(&balance, &ticket, &free).get(&free[0]), None);
+    ticket.excluded = free.clone();
+    assert_eq!(balance.pick(&ticket, &free, NOW), None);
+}
+
+#[test]
+fn pick_ejected_only_when_all_are() {
+    let (balance, free) = (balance(), names(3));
+    balance.lost(&free[0], NOW);
+    for _ in 0..100 {
+        assert_ne!(balance.pick(&ticket(None), &free, NOW), Some(free[0].clone()));
+    }
+    free.iter().for_each(|upstream| balance.lost(upstream, NOW));
+    assert!(balance.pick(&ticket(None), &free, NOW).is_some());
+}
+
+#[test]
+fn pick_spreads_one_burst() {
+    let (balance, free) = (balance(), names(4));
+    let mut counts: HashMap<Upstream, u32> = HashMap::new();
+    for _ in 0..40 {
+        *counts.entry(balance.pick(&ticket(None), &free, NOW).expect("free")).or_default() += 1;
+    }
+    assert!(free.iter().all(|upstream| (6..=14).contains(&counts[upstream])), "{counts:?}");
+}
+
+#[test]
+fn pick_baselines() {
+    let free = names(4);
+    let round = counts(&RoundRobin::default(), &ticket(None), &free);
+    assert!(free.iter().all(|upstream| round[upstream] == 100));
+    let random = counts(&Random::new(1), &ticket(None), &free);
+    assert!(free.iter().all(|upstream| random[upstream] > 50));
+}
+
+#[test]
+fn health_ejects_and_returns_slowly() {
+    let mut health = Health::default();
+    health.failed(NOW);
+    health.failed(NOW);
+    assert!(!health.ejected(NOW));
+    health.failed(NOW);
+    assert_eq!(health.weight_milli(NOW), 0);
+    let back = NOW.after(Duration::from_secs(1));
+    assert_eq!(health.weight_milli(back), 100);
+    assert_eq!(health.weight_milli(back.after(Duration::from_secs(5))), 550);
+    assert_eq!(health.weight_milli(back.after(Duration::from_secs(10))), 1_000);
+    health.eject(back);
+    assert!(health.ejected(back.after(Duration::from_millis(1_999))));
+    assert!(!health.ejected(back.after(Duration::from_secs(2))));
+}
+
+#[test]
+fn affinity_gap_forgets() {
+    let mut affinity = Affinity::default();
+    let engine = Upstream::from("engine-0");
+    affinity.learn(&engine, stored(1));
+    assert!(affinity.holds(&engine, PREFIX));
+    affinity.learn(&engine, CacheEvent { sequence: 3, kind: CacheKind::Stored, prefix: 7 });
+    assert!(!affinity.holds(&engine, PREFIX), "an eviction may have been missed");
+    assert!(affinity.holds(&engine, 7));
+    affinity.learn(&engine, CacheEvent { sequence: 4, kind: CacheKind::Evicted, prefix: 7 });
+    affinity.learn(&engine, CacheEvent { sequence: 3, kind: CacheKind::Stored, prefix: 7 });
+    assert!(!affinity.holds(&engine, 7), "a late event was taken in");
+}
+
+#[test]
+fn subset_stable_when_one_leaves() {
+    let all = names(100);
+    let vm = Vm::from("entry-0");
+    let before: Vec<Upstream> = subset(&vm, &all, 16).into_iter().cloned().collect();
+    let gone = before[3].clone();
+    let rest: Vec<Upstream> = all.iter().filter(|name| **name != gone).cloned().collect();
+    let after: Vec<Upstream> = subset(&vm, &rest, 16).into_iter().cloned().collect();
+    assert_eq!(before.iter().filter(|name| !after.contains(name)).count(), 1);
+    let other = subset(&Vm::from("entry-1"), &all, 16);
+    assert!(before.iter().any(|name| !other.contains(&name)));
+}
+
+#[test]
+fn budget_bounds_retries() {
+    let mut budget = Budget::default();
+    let (limpa, engine) = (Organisation::from("limpa"), Upstream::from("engine-0"));
+    let mut retries = 0;
+    for _ in 0..1_000 {
+        budget.deposit(&limpa, &engine, NOW);
+        retries += u32::from(budget.withdraw(&limpa, &engine, NOW));
+    }
+    // A fifth of the requests, and the reserve.
+    assert!((200..=265).contains(&retries), "{retries}");
+    let other = Organisation::from("other");
+    assert!(!budget.withdraw(&other, &engine, NOW), "the upstream's budget is used up");
+    assert!(budget.withdraw(&other, &Upstream::from("engine-1"), NOW));
+    assert!(!budget.withdraw(&limpa, &Upstream::from("engine-1"), NOW));
+    let later = NOW.after(Duration::from_secs(1));
+    assert!(budget.withdraw(&limpa, &engine, later));
+}
+
+fn lost() -> Failure {
+    Failure::Sent(Error::new(Kind::OutcomeUnknown, "broke off"))
+}
+
+fn refused() -> Failure {
+    Failure::NotSent(Error::new(Kind::UpstreamUnreachable, "refused"))
+}
+
+#[test]
+fn course_not_idempotent() {
+    let mut course = Course::new(false, Time::NEVER);
+    course.send(NOW).expect("the first send");
+    course.failed(refused(), NOW, || true).expect("another may be tried");
+    course.send(NOW).expect("nothing had left");
+    let error = course.failed(lost(), NOW, || true).expect_err("it may have run");
+    assert_eq!(error.kind, Kind::OutcomeUnknown);
+}
+
+#[test]
+fn course_not_run_only_before_send() {
+    let mut course = Course::new(true, Time::NEVER);
+    let overloaded = || Error::new(Kind::Overloaded, "full");
+    assert_eq!(course.refuse(overloaded()).kind, Kind::Overloaded);
+    course.send(NOW).expect("a send");
+    course.failed(lost(), NOW, || true).expect("idempotent");
+    assert_eq!(course.refuse(overloaded()).kind, Kind::OutcomeUnknown);
+    course.send(NOW).expect("a send");
+    let error = course.failed(refused(), NOW, || false).expect_err("no budget");
+    assert_eq!(error.kind, Kind::OutcomeUnknown, "the first send may have run");
+}
+
+#[test]
+fn course_never_beyond_deadline() {
+    let mut course = Course::new(true, NOW.after(Duration::from_secs(1)));
+    course.send(NOW).expect("a send");
+    let late = NOW.after(Duration::from_secs(2));
+    assert!(course.failed(lost(), late, || true).is_err());
+    assert_eq!(course.check(late).map_err(|error| error.kind), Err(Kind::DeadlineExceeded));
+}
