Keep jobs and claims in segments and run them on stores

Cause: the log needs its meaning (jobs, items, claims) and a process part that makes records durable in groups. Ruled out: deciding leases when they are applied; a replay after compaction would choose differently, so the record names the attempts.

--- /dev/null
+++ b/src/batch/state.rs
@@ -0,0 +1,296 @@
+//! What follows from a segment's committed records.
+
+use std::collections::{BTreeMap, HashMap, VecDeque};
+
+use super::claims::Claims;
+use super::job::{Chunk, Job, JobId, Phase, Progress};
+use super::outcome::Outcome;
+use super::record::{Attempt, Event, Lease, Name, Record, Seal, Settle, Stage, Sweep};
+
+/// How long ended jobs and claims are kept, in milliseconds: three days.
+pub const RETENTION_MS: u64 = 3 * 24 * 60 * 60 * 1_000;
+/// How long an upload may stand still, in milliseconds.
+const UPLOAD_IDLE_MS: u64 = 10 * 60 * 1_000;
+/// Jobs and uploads that one sweep ends.
+const SWEEP_LIMIT: usize = 16;
+
+#[derive(Clone, Debug, Default)]
+struct Upload {
+    chunks: Vec<Chunk>,
+    touched_ms: u64,
+}
+
+/// Uploads, jobs and claims of one segment.
+#[derive(Clone, Debug, Default)]
+pub struct State {
+    uploads: BTreeMap<String, Upload>,
+    jobs: BTreeMap<JobId, Job>,
+    names: BTreeMap<Name, JobId>,
+    claims: Claims,
+    /// Jobs that each shared record concerns.
+    shared: HashMap<u64, u32>,
+    /// Records with an effect that outlives them, and when they were made. A
+    /// replica that copies the log meanwhile must still find them.
+    lingering: VecDeque<(u64, u64)>,
+}
+
+impl State {
+    /// Applies the record at `seq`. Gives the outcome and the records that
+    /// mean nothing any more.
+    pub fn apply(&mut self, seq: u64, record: &Record) -> (Outcome, Vec<u64>) {
+        let now_ms = record.now_ms;
+        let Some(event) = &record.event else { return (Outcome::Done, Vec::new()) };
+        match event {
+            Event::Stage(stage) => self.stage(seq, stage, now_ms),
+            Event::Seal(seal) => self.seal(seq, seal, now_ms),
+            Event::Lease(lease) => self.lease(seq, lease),
+            Event::Settle(settle) => self.settle(seq, settle, now_ms),
+            Event::Cancel(name) => self.cancel(seq, name, now_ms),
+            Event::Expire(expire) => self.expire(seq, &expire.attempts, now_ms),
+            Event::Sweep(sweep) => (Outcome::Done, self.sweep(seq, sweep, now_ms)),
+            Event::Claim(claim) => self.claims.claim(seq, claim, now_ms),
+            Event::Finish(finish) => self.claims.finish(seq, &finish.claim),
+            Event::Release(claim) => {
+                self.lingering.push_back((now_ms, seq));
+                self.claims.release(claim)
+            }
+        }
+    }
+
+    /// The job of that name.
+    pub fn job(&self, name: &Name) -> Option<&Job> {
+        self.jobs.get(self.names.get(name)?)
+    }
+
+    /// The job with that identity.
+    pub fn job_by_id(&self, id: JobId) -> Option<&Job> {
+        self.jobs.get(&id)
+    }
+
+    /// Jobs of an organisation, by name.
+    pub fn list(&self, organisation: &str) -> Vec<Progress> {
+        let first = Name { organisation: organisation.into(), job: String::new() };
+        let own =
+            self.names.range(first..).take_while(|(name, _)| name.organisation == organisation);
+        own.filter_map(|(_, id)| self.jobs.get(id)).map(Job::progress).collect()
+    }
+
+    /// Every attempt that a worker holds.
+    pub fn running(&self) -> impl Iterator<Item = Attempt> + '_ {
+        self.jobs.values().flat_map(Job::running)
+    }
+
+    /// Whether an attempt is still the one that its item is at.
+    pub fn is_current(&self, attempt: &Attempt) -> bool {
+        self.jobs.get(&JobId(attempt.job)).is_some_and(|job| job.is_current(attempt))
+    }
+
+    /// Whether a lease for `target` would get anything.
+    pub fn has_ready(&self, target: &str, now_ms: u64) -> bool {
+        self.jobs.values().any(|job| job.seal.target == target && job.has_ready(now_ms))
+    }
+
+    /// What should be ended now, if anything.
+    pub fn due(&self, now_ms: u64) -> Option<Sweep> {
+        let overdue = self
+            .jobs
+            .values()
+            .filter(|job| job.phase() == Phase::Running && job.seal.deadline_ms <= now_ms);
+        let kept_until = |ended: u64| ended.saturating_add(RETENTION_MS);
+        let old = self
+            .jobs
+            .values()
+            .filter(|job| job.ended_ms.is_some_and(|ended| kept_until(ended) <= now_ms));
+        let idle =
+            self.uploads.iter().filter(|(_, upload)| upload.touched_ms + UPLOAD_IDLE_MS <= now_ms);
+        let before = now_ms.saturating_sub(RETENTION_MS);
+        let claims = self.claims.oldest_ms().is_some_and(|oldest| oldest < before);
+        let sweep = Sweep {
+            overdue: overdue.map(|job| job.id.0).take(SWEEP_LIMIT).collect(),
+            old: old.map(|job| job.id.0).take(SWEEP_LIMIT).collect(),
+            uploads: idle.map(|(name, _)| name.clone()).take(SWEEP_LIMIT).collect(),
+            claims_before_ms: if claims { before } else { 0 },
+        };
+        (sweep != Sweep::default()).then_some(sweep)
+    }
+
+    /// Chooses up to `limit` items for a worker: the organisation that runs
+    /// least for its weight goes first, and within it the job due first.
+    pub fn pick(&self, target: &str, limit: usize, now_ms: u64) -> Vec<Attempt> {
+        let mut queues: BTreeMap<&str, Queue<'_>> = BTreeMap::new();
+        let mut jobs: Vec<&Job> =
+            self.jobs.values().filter(|job| job.seal.target == target).collect();
+        jobs.sort_unstable_by_key(|job| (job.seal.deadline_ms, job.id));
+        for job in jobs {
+            let queue = queues.entry(job.seal.name.organisation.as_str()).or_default();
+            queue.running += u64::from(job.running_count());
+            queue.weight = u64::from(job.seal.weight.max(1));
+            if job.has_ready(now_ms) {
+                queue.items.push(Box::new(job.free_items(now_ms)));
+            }
+        }
+        let mut queues: Vec<Queue<'_>> = queues.into_values().collect();
+        let mut picked = Vec::new();
+        while picked.len() < limit {
+            let next = queues.iter().enumerate().min_by_key(|(_, queue)| queue.share());
+            let Some(place) = next.map(|(place, _)| place) else { break };
+            match queues[place].next() {
+                Some(attempt) => picked.push(attempt),
+                None => {
+                    queues.remove(place);
+                }
+            }
+        }
+        picked
+    }
+
+    fn stage(&mut self, seq: u64, stage: &Stage, now_ms: u64) -> (Outcome, Vec<u64>) {
+        let upload = self.uploads.entry(stage.upload.clone()).or_default();
+        upload.touched_ms = now_ms;
+        let next = upload.chunks.last().map_or(0, |chunk| chunk.first + chunk.count);
+        let count = stage.items.len() as u32;
+        if stage.first + count <= next {
+            return (Outcome::Done, vec![seq]); // a resend of what is already there
+        }
+        if stage.first != next {
+            return (Outcome::Incomplete, vec![seq]);
+        }
+        upload.chunks.push(Chunk { first: stage.first, count, record: seq });
+        (Outcome::Done, Vec::new())
+    }
+
+    fn seal(&mut self, seq: u64, seal: &Seal, now_ms: u64) -> (Outcome, Vec<u64>) {
+        let upload = self.uploads.remove(&seal.upload);
+        let chunks = upload.map(|upload| upload.chunks).unwrap_or_default();
+        let dead = || chunks.iter().map(|chunk| chunk.record).chain([seq]).collect();
+        if let Some(job) = self.job(&seal.name) {
+            if job.seal.digest != seal.digest {
+                return (Outcome::Conflict, dead());
+            }
+            return (Outcome::Accepted { created: false, total: job.seal.total }, dead());
+        }
+        let staged = chunks.last().map_or(0, |chunk| chunk.first + chunk.count);
+        if staged != seal.total {
+            return (Outcome::Incomplete, dead());
+        }
+        let id = JobId(seq);
+        self.jobs.insert(id, Job::new(id, seal.clone(), chunks, now_ms));
+        self.names.insert(seal.name.clone(), id);
+        (Outcome::Accepted { created: true, total: seal.total }, Vec::new())
+    }
+
+    fn lease(&mut self, seq: u64, lease: &Lease) -> (Outcome, Vec<u64>) {
+        let mut grants = Vec::new();
+        for attempt in &lease.attempts {
+            let job = self.jobs.get_mut(&JobId(attempt.job));
+            let Some(grant) = job.and_then(|job| job.grant(attempt)) else { continue };
+            grants.push(grant);
+            self.touch(JobId(attempt.job), seq);
+        }
+        let dead = if grants.is_empty() { vec![seq] } else { Vec::new() };
+        (Outcome::Leased(grants), dead)
+    }
+
+    fn settle(&mut self, seq: u64, settle: &Settle, now_ms: u64) -> (Outcome, Vec<u64>) {
+        for (index, ended) in settle.settlements.iter().enumerate() {
+            let id = JobId(ended.attempt.job);
+            if let Some(job) = self.jobs.get_mut(&id) {
+                job.settle(seq, index as u32, ended, now_ms);
+                self.touch(id, seq);
+            }
+        }
+        (Outcome::Done, self.unless_shared(seq))
+    }
+
+    fn cancel(&mut self, seq: u64, name: &Name, now_ms: u64) -> (Outcome, Vec<u64>) {
+        let Some(id) = self.names.get(name).copied() else {
+            return (Outcome::NotFound, vec![seq]);
+        };
+        let job = self.jobs.get_mut(&id).expect("a name stands for a job");
+        job.close(seq, Phase::Cancelled, now_ms);
+        let total = job.seal.total;
+        self.touch(id, seq);
+        (Outcome::Accepted { created: false, total }, Vec::new())
+    }
+
+    fn expire(&mut self, seq: u64, attempts: &[Attempt], now_ms: u64) -> (Outcome, Vec<u64>) {
+        for attempt in attempts {
+            let id = JobId(attempt.job);
+            if let Some(job) = self.jobs.get_mut(&id) {
+                job.expire(seq, attempt, now_ms);
+                self.touch(id, seq);
+            }
+        }
+        (Outcome::Done, self.unless_shared(seq))
+    }
+
+    fn sweep(&mut self, seq: u64, sweep: &Sweep, now_ms: u64) -> Vec<u64> {
+        let mut dead = self.claims.sweep(sweep.claims_before_ms);
+        for id in &sweep.overdue {
+            if let Some(job) = self.jobs.get_mut(&JobId(*id)) {
+                job.close(seq, Phase::Expired, now_ms);
+                self.touch(JobId(*id), seq);
+            }
+        }
+        for id in &sweep.old {
+            let Some(job) = self.jobs.remove(&JobId(*id)) else { continue };
+            self.names.remove(job.name());
+            let (own, touched) = job.into_records();
+            dead.extend(own);
+            dead.extend(touched.into_iter().filter(|record| self.untouch(*record)));
+        }
+        for name in &sweep.uploads {
+            let upload = self.uploads.remove(name).unwrap_or_default();
+            dead.extend(upload.chunks.iter().map(|chunk| chunk.record));
+        }
+        let ended = |made: u64| made.saturating_add(RETENTION_MS) <= now_ms;
+        while self.lingering.front().is_some_and(|(made, _)| ended(*made)) {
+            dead.extend(self.lingering.pop_front().map(|(_, record)| record));
+        }
+        if sweep.overdue.is_empty() {
+            self.lingering.push_back((now_ms, seq));
+        }
+        dead
+    }
+
+    fn touch(&mut self, id: JobId, record: u64) {
+        if self.jobs.get_mut(&id).is_some_and(|job| job.touch(record)) {
+            *self.shared.entry(record).or_default() += 1;
+        }
+    }
+
+    /// Takes one job off a shared record; true if it concerns no other.
+    fn untouch(&mut self, record: u64) -> bool {
+        let Some(jobs) = self.shared.get_mut(&record) else { return false };
+        *jobs -= 1;
+        if *jobs > 0 {
+            return false;
+        }
+        self.shared.remove(&record);
+        true
+    }
+
+    fn unless_shared(&self, record: u64) -> Vec<u64> {
+        if self.shared.contains_key(&record) { Vec::new() } else { vec![record] }
+    }
+}
+
+/// What one organisation could run.
+#[derive(Default)]
+struct Queue<'a> {
+    running: u64,
+    weight: u64,
+    items: Vec<Box<dyn Iterator<Item = Attempt> + 'a>>,
+}
+
+impl Queue<'_> {
+    fn share(&self) -> u64 {
+        self.running * 1_000 / self.weight
+    }
+
+    fn next(&mut self) -> Option<Attempt> {
+        let attempt = self.items.iter_mut().find_map(|items| items.next())?;
+        self.running += 1;
+        Some(attempt)
+    }
+}
--- a/src/event/catalogue.rs
+++ b/src/event/catalogue.rs
@@ -63,6 +63,7 @@
     702 JobAccepted Info "job accepted";
     703 JobCancelled Info "job cancelled";
     704 ReplicaReplaced Info "segment replica replaced";
+    705 DiskFailed Error "the data folder can't be used";
 
     801 OrderSent Info "order sent to an upstream";
     802 OrderRefused Warning "an upstream refused an order";
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -9,6 +9,7 @@
 
 pub mod admission;
 pub mod api;
+pub mod batch;
 pub mod claim;
 pub mod clock;
 pub mod config;
@@ -26,6 +27,7 @@
 pub mod segment;
 pub mod settings;
 pub mod simulate;
+pub mod store;
 pub mod stream;
 pub mod trace;
 pub mod upstream;
--- a/src/segment/machine.rs
+++ b/src/segment/machine.rs
@@ -85,6 +85,11 @@
         machine
     }
 
+    /// Goes on from a sequence number that is known to be committed.
+    pub fn restore_commit(&mut self, commit: u64) {
+        self.commit = self.commit.max(commit.min(self.last));
+    }
+
     /// The set this replica goes by.
     pub fn set(&self) -> &Set {
         &self.set
@@ -434,6 +439,7 @@
         let after = follower.after.clamp(self.base.seq, self.last);
         let previous = Mark { seq: after, epoch: self.epoch_at(after) };
         let send = Send {
+            epoch: self.set.epoch,
             to: follower.replica.clone(),
             previous,
             through: self.last,
--- a/src/segment/step.rs
+++ b/src/segment/step.rs
@@ -51,6 +51,8 @@
 /// Wants entries of the log sent to a replica.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Send {
+    /// Epoch in which this was decided; in another one it means nothing.
+    pub epoch: u64,
     /// To whom.
     pub to: Replica,
     /// Mark before the first entry.
--- /dev/null
+++ b/src/store/command.rs
@@ -0,0 +1,41 @@
+//! What goes into the engine and comes out of it.
+
+use tokio::sync::oneshot;
+
+use crate::error::Result;
+use crate::segment::{Append, Appended, Replica, SegmentId, Set};
+use crate::wire::batch::{Ask, Reply};
+
+/// Where an answer goes.
+pub type Responder = oneshot::Sender<Result<Reply>>;
+
+/// What the engine is told.
+pub enum Command {
+    /// Entries from a primary.
+    Append(SegmentId, Append, oneshot::Sender<Appended>),
+    /// A replica's answer to entries.
+    Appended(SegmentId, Appended),
+    /// A set stands in the platform's service.
+    Adopt(SegmentId, Set),
+    /// Live stores that could join a segment.
+    Offer(SegmentId, Vec<Replica>),
+    /// Something asked of a segment.
+    Ask(SegmentId, Ask, Responder),
+    /// Which sets the segments go by.
+    Sets(oneshot::Sender<Vec<Set>>),
+    /// Time has passed.
+    Tick,
+    /// The process ends.
+    Stop,
+}
+
+/// What the engine wants done.
+#[derive(Debug)]
+pub enum Output {
+    /// Send entries to a replica.
+    Send(SegmentId, Append),
+    /// Put a set into the platform's service.
+    Swap(SegmentId, Set),
+    /// The disk failed; segments were read again.
+    DiskFailed(String),
+}
--- /dev/null
+++ b/src/store/page.rs
@@ -0,0 +1,160 @@
+//! Reading items and results back from the log.
+
+use std::collections::VecDeque;
+
+use bytes::Bytes;
+use prost::Message;
+use serde_json::{Value, json};
+
+use crate::batch::record::{Event, Item, Record};
+use crate::batch::{Job, Outcome, Phase, Slot, Verdict};
+use crate::error::{Error, Kind, Result};
+use crate::segment::{Disk, SegmentId};
+use crate::wire::batch::{Accepted, Finished, Leased, LeasedItem, Page, Reply};
+
+/// Decoded records that are kept for the next page or lease.
+const CACHED_RECORDS: usize = 16;
+/// Bytes of results after which a page ends.
+const PAGE_BYTES: usize = 1 << 20;
+
+/// Records read from one disk, the latest ones kept.
+pub(super) struct Reader {
+    cached: VecDeque<((SegmentId, u64), Record)>,
+}
+
+impl Reader {
+    pub(super) fn new() -> Self {
+        Self { cached: VecDeque::new() }
+    }
+
+    /// Forgets everything, after a truncation.
+    pub(super) fn clear(&mut self) {
+        self.cached.clear();
+    }
+
+    fn record(&mut self, disk: &Disk, segment: SegmentId, seq: u64) -> Result<&Record> {
+        let key = (segment, seq);
+        if let Some(place) = self.cached.iter().position(|(known, _)| *known == key) {
+            return Ok(&self.cached[place].1);
+        }
+        let entry = disk.read(segment, seq, seq, usize::MAX)?.pop().ok_or_else(|| lost(seq))?;
+        let record = Record::decode(entry.payload).map_err(|_| lost(seq))?;
+        if self.cached.len() == CACHED_RECORDS {
+            self.cached.pop_front();
+        }
+        self.cached.push_back((key, record));
+        Ok(&self.cached.back().expect("just added").1)
+    }
+
+    fn item(&mut self, disk: &Disk, segment: SegmentId, place: (u64, u32)) -> Result<&Item> {
+        match &self.record(disk, segment, place.0)?.event {
+            Some(Event::Stage(stage)) => {
+                stage.items.get(place.1 as usize).ok_or_else(|| lost(place.0))
+            }
+            _ => Err(lost(place.0)),
+        }
+    }
+
+    /// The answer for an outcome.
+    pub(super) fn reply(
+        &mut self,
+        disk: &Disk,
+        segment: SegmentId,
+        state: &crate::batch::State,
+        outcome: Outcome,
+    ) -> Result<Reply> {
+        let reply = match outcome {
+            Outcome::Done => Reply::Done(()),
+            Outcome::Accepted { created, total } => Reply::Accepted(Accepted { created, total }),
+            Outcome::Conflict => {
+                return Err(Error::new(Kind::Conflict, "the name stands for another body"));
+            }
+            Outcome::Incomplete => {
+                return Err(Error::new(Kind::StoreUnavailable, "the upload is not whole"));
+            }
+            Outcome::NotFound => return Err(Error::new(Kind::NotFound, "no such job")),
+            Outcome::Granted => Reply::Granted(()),
+            Outcome::Claimed => Reply::Claimed(()),
+            Outcome::Finished(seq) => Reply::Finished(self.finished(disk, segment, seq)?),
+            Outcome::Leased(grants) => {
+                let mut items = Vec::with_capacity(grants.len());
+                for grant in grants {
+                    let id = crate::batch::JobId(grant.attempt.job);
+                    let Some(job) = state.job_by_id(id) else { continue };
+                    let item = self.item(disk, segment, (grant.record, grant.index))?;
+                    items.push(LeasedItem {
+                        attempt: grant.attempt,
+                        path: job.seal().path.clone(),
+                        body: item.body.clone(),
+                        idempotent: job.seal().idempotent,
+                    });
+                }
+                Reply::Leased(Leased { items })
+            }
+        };
+        Ok(reply)
+    }
+
+    fn finished(&mut self, disk: &Disk, segment: SegmentId, seq: u64) -> Result<Finished> {
+        match &self.record(disk, segment, seq)?.event {
+            Some(Event::Finish(finish)) => Ok(Finished {
+                status: finish.status,
+                content_type: finish.content_type.clone(),
+                body: finish.body.clone(),
+            }),
+            _ => Err(lost(seq)),
+        }
+    }
+
+    /// Results after the first `after`, `limit` at most.
+    pub(super) fn page(
+        &mut self,
+        disk: &Disk,
+        segment: SegmentId,
+        job: &Job,
+        after: u32,
+        limit: u32,
+    ) -> Result<Page> {
+        let mut lines = Vec::new();
+        let mut next = after;
+        for slot in job.slots().iter().skip(after as usize).take(limit as usize) {
+            let line = self.line(disk, segment, job, slot)?;
+            serde_json::to_writer(&mut lines, &line).expect("a value is plain data");
+            lines.push(b'\n');
+            next += 1;
+            if lines.len() > PAGE_BYTES {
+                break;
+            }
+        }
+        let complete = job.phase() != Phase::Running && next as usize >= job.slots().len();
+        Ok(Page { lines: Bytes::from(lines), next, complete })
+    }
+
+    fn line(&mut self, disk: &Disk, segment: SegmentId, job: &Job, slot: &Slot) -> Result<Value> {
+        let custom_id = self.item(disk, segment, job.locate(slot.item))?.custom_id.clone();
+        let verdict = json!(slot.verdict);
+        if !slot.answered() {
+            let error = slot.reason.as_str();
+            return Ok(json!({ "custom_id": custom_id, "status": verdict, "error": error }));
+        }
+        let settlement = match &self.record(disk, segment, slot.record)?.event {
+            Some(Event::Settle(settle)) => settle.settlements.get(slot.index as usize),
+            _ => None,
+        };
+        let settlement = settlement.ok_or_else(|| lost(slot.record))?;
+        let body = serde_json::from_slice(&settlement.body)
+            .unwrap_or_else(|_| json!(String::from_utf8_lossy(&settlement.body)));
+        let response = json!({ "status": settlement.status, "body": body });
+        if slot.verdict == Verdict::Succeeded {
+            return Ok(json!({ "custom_id": custom_id, "status": verdict, "response": response }));
+        }
+        let error = slot.reason.as_str();
+        Ok(json!({
+            "custom_id": custom_id, "status": verdict, "error": error, "response": response,
+        }))
+    }
+}
+
+fn lost(seq: u64) -> Error {
+    Error::new(Kind::Internal, format!("record {seq} can't be read back"))
+}
