Serve batch jobs to callers and dispatch items to upstreams

Cause: jobs need an interface for callers, a way from any VM to the segment's primary, and workers that give way to online requests. Ruled out: asking for items once for each upstream; 6,100 upstreams would poll eight segments each, so a VM asks once for each target. Not measured yet.

--- a/src/api/mod.rs
+++ b/src/api/mod.rs
@@ -2,4 +2,5 @@
 
 pub mod caller;
 pub mod entries;
+pub mod jobs;
 pub mod operator;
--- /dev/null
+++ b/src/batch/client.rs
@@ -0,0 +1,135 @@
+//! Asking segments from any VM of the fleet.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use parking_lot::Mutex;
+
+use super::record::{Event, Record};
+use crate::clock::Time;
+use crate::context::Context;
+use crate::error::{Error, Kind, Result};
+use crate::id::Vm;
+use crate::segment::SegmentId;
+use crate::view::{Member, Role};
+use crate::wire::batch::{Ask, Body, Message, Reply, Request};
+
+/// Bound on one store's answer; a cancellation's may have to wait a second.
+const CALL_TIMEOUT: Duration = Duration::from_millis(2_500);
+/// Pause after all stores were asked in vain.
+const ROUND_PAUSE: Duration = Duration::from_millis(50);
+/// How long a segment's primary is looked for.
+const PATIENCE: Duration = Duration::from_secs(8);
+
+/// Finds the primary of a segment and asks it.
+#[derive(Clone)]
+pub struct Client {
+    context: Context,
+    primaries: Arc<Mutex<HashMap<SegmentId, Vm>>>,
+}
+
+impl Client {
+    /// Makes a client.
+    pub fn new(context: Context) -> Self {
+        Self { context, primaries: Arc::default() }
+    }
+
+    /// The process's surroundings.
+    pub fn context(&self) -> &Context {
+        &self.context
+    }
+
+    /// Commits a record; the caller makes sure that a repetition is harmless.
+    /// `StoreUnavailable` when it isn't known to be committed.
+    pub async fn commit(&self, segment: SegmentId, event: Event) -> Result<Reply> {
+        self.ask(segment, Ask::Commit(Record::new(0, event))).await
+    }
+
+    /// Asks the primary, looking for it for some seconds. Reads fall back on
+    /// any member of the set.
+    pub async fn ask(&self, segment: SegmentId, ask: Ask) -> Result<Reply> {
+        let deadline = self.context.clock.now().after(PATIENCE);
+        self.ask_until(segment, ask, deadline).await
+    }
+
+    /// As `ask`, with a deadline.
+    pub async fn ask_until(&self, segment: SegmentId, ask: Ask, deadline: Time) -> Result<Reply> {
+        let read = matches!(ask, Ask::Status(_) | Ask::List(_) | Ask::Results(_));
+        let mut request = Request { segment: segment.0, any_member: false, ask: Some(ask) };
+        loop {
+            let error = match self.ask_round(segment, &request, deadline).await {
+                Ok(reply) => return Ok(reply),
+                Err(error) => error,
+            };
+            if !is_passing(error.kind) || deadline.passed(self.context.clock.now()) {
+                return Err(error);
+            }
+            request.any_member = read;
+            actix_rt::time::sleep(ROUND_PAUSE).await;
+        }
+    }
+
+    /// Asks each store once, beginning with the last known primary.
+    async fn ask_round(
+        &self,
+        segment: SegmentId,
+        request: &Request,
+        deadline: Time,
+    ) -> Result<Reply> {
+        let mut left = self.stores(segment);
+        let mut error = unavailable("no store is known");
+        while let Some(store) = left.pop() {
+            if deadline.passed(self.context.clock.now()) {
+                break;
+            }
+            match self.call(&store, request).await {
+                Ok(Reply::Elsewhere(primary)) => {
+                    error = unavailable("the segment has no primary at present");
+                    if let Some(place) = left.iter().position(|each| each.vm.as_str() == primary) {
+                        let next = left.remove(place);
+                        left.push(next);
+                    }
+                }
+                Ok(reply) => {
+                    self.primaries.lock().insert(segment, store.vm);
+                    return Ok(reply);
+                }
+                Err(found) if !is_passing(found.kind) => return Err(found),
+                Err(found) => error = unavailable(&found.detail),
+            }
+        }
+        self.primaries.lock().remove(&segment);
+        Err(error)
+    }
+
+    /// Live stores; the one to ask first is last.
+    fn stores(&self, segment: SegmentId) -> Vec<Member> {
+        let view = self.context.shared.load();
+        let members = view.members.values();
+        let mut stores: Vec<Member> =
+            members.filter(|member| member.role == Role::Store).cloned().collect();
+        if let Some(primary) = self.primaries.lock().get(&segment) {
+            stores.sort_by_key(|store| store.vm == *primary);
+        }
+        stores
+    }
+
+    async fn call(&self, store: &Member, request: &Request) -> Result<Reply> {
+        let body = Message::frame(Body::Request(request.clone()));
+        let answer = self.context.peers.get(store.peer).call(body, CALL_TIMEOUT).await?;
+        match Message::unframe(answer)? {
+            Body::Answer(answer) => answer.reply.ok_or_else(|| unavailable("an empty answer")),
+            _ => Err(Error::new(Kind::Peer, "not an answer of a segment")),
+        }
+    }
+}
+
+/// Whether another try, or another store, may do better.
+fn is_passing(kind: Kind) -> bool {
+    matches!(kind, Kind::StoreUnavailable | Kind::Peer)
+}
+
+fn unavailable(detail: &str) -> Error {
+    Error::new(Kind::StoreUnavailable, detail).retry_after(Duration::from_secs(1))
+}
--- a/src/batch/mod.rs
+++ b/src/batch/mod.rs
@@ -8,13 +8,26 @@
 
 pub mod record;
 
+mod claimant;
 mod claims;
+mod client;
+mod dispatch;
 mod job;
 mod lease;
 mod outcome;
+mod rendezvous;
+mod run;
 mod state;
+mod upload;
+mod worker;
 
+pub use claimant::Claimant;
+pub use client::Client;
+pub use dispatch::{Dispatch, Online};
 pub use job::{Job, JobId, Phase, Progress, Slot, Verdict};
 pub use lease::{LEASE, Leases, START_WINDOW};
 pub use outcome::{Grant, Outcome};
+pub use rendezvous::dispatcher;
 pub use state::{RETENTION_MS, State};
+pub use upload::{MAX_ITEMS, Upload};
+pub use worker::{Worker, start, start_with};
--- a/src/filter/mod.rs
+++ b/src/filter/mod.rs
@@ -21,6 +21,7 @@
 pub use arrival::Arrival;
 pub use chain::{Chain, Services};
 pub use exchange::{Exchange, Reply};
+pub use identify::check;
 pub use parse::{IDEMPOTENCY_KEY, REQUEST_ID};
 pub use prompt::Prompt;
 
--- a/src/store/command.rs
+++ b/src/store/command.rs
@@ -19,8 +19,8 @@
     Adopt(SegmentId, Set),
     /// Live stores that could join a segment.
     Offer(SegmentId, Vec<Replica>),
-    /// Something asked of a segment.
-    Ask(SegmentId, Ask, Responder),
+    /// Something asked of a segment; the flag lets any member answer a read.
+    Ask(SegmentId, Ask, bool, Responder),
     /// Which sets the segments go by.
     Sets(oneshot::Sender<Vec<Set>>),
     /// Time has passed.
--- a/src/store/engine.rs
+++ b/src/store/engine.rs
@@ -93,7 +93,9 @@
             Command::Offer(segment, spares) => {
                 self.parts[segment.0 as usize].machine.offer(spares);
             }
-            Command::Ask(segment, ask, responder) => self.ask(segment, ask, responder, now),
+            Command::Ask(segment, ask, any_member, responder) => {
+                self.ask(segment, ask, any_member, responder, now);
+            }
             Command::Sets(responder) => {
                 let sets = self.parts.iter().map(|part| part.machine.set().clone()).collect();
                 let _ = responder.send(sets);
@@ -103,10 +105,16 @@
         }
     }
 
-    fn ask(&mut self, segment: SegmentId, ask: Ask, responder: Responder, now: Time) {
+    fn ask(
+        &mut self,
+        segment: SegmentId,
+        ask: Ask,
+        any_member: bool,
+        responder: Responder,
+        now: Time,
+    ) {
         let part = &mut self.parts[segment.0 as usize];
-        // A member that isn't the primary may answer reads, but nothing else.
-        let read = matches!(ask, Ask::Status(_) | Ask::List(_) | Ask::Results(_));
+        let read = any_member && matches!(ask, Ask::Status(_) | Ask::List(_) | Ask::Results(_));
         let answers = part.machine.accepts() || (read && part.machine.is_member());
         if !answers {
             let primary = part.machine.set().primary().filter(|each| **each != self.own);
--- a/src/store/shell.rs
+++ b/src/store/shell.rs
@@ -133,10 +133,15 @@
         self.commands.closed().await;
     }
 
-    /// Asks a segment of this store.
-    pub async fn ask(&self, segment: SegmentId, ask: Ask) -> Result<batch::Reply> {
+    /// Asks a segment of this store; any member may answer a read if allowed.
+    pub async fn ask(
+        &self,
+        segment: SegmentId,
+        ask: Ask,
+        any_member: bool,
+    ) -> Result<batch::Reply> {
         let (responder, answer) = oneshot::channel();
-        let sent = self.commands.send(Command::Ask(segment, ask, responder)).await;
+        let sent = self.commands.send(Command::Ask(segment, ask, any_member, responder)).await;
         sent.map_err(|_| stopped())?;
         answer.await.map_err(|_| stopped())?
     }
@@ -154,7 +159,7 @@
             Body::Request(request) => {
                 let segment = segment(request.segment)?;
                 let ask = request.ask.ok_or_else(|| Error::new(Kind::Peer, "an empty request"))?;
-                let reply = self.ask(segment, ask).await?;
+                let reply = self.ask(segment, ask, request.any_member).await?;
                 Body::Answer(batch::Answer { reply: Some(reply) })
             }
             _ => return Err(Error::new(Kind::Peer, "a store doesn't answer this")),
--- a/src/wire/batch.rs
+++ b/src/wire/batch.rs
@@ -129,6 +129,9 @@
     /// Which segment.
     #[prost(uint32, tag = "1")]
     pub segment: u32,
+    /// Whether a member that isn't the primary may answer.
+    #[prost(bool, tag = "8")]
+    pub any_member: bool,
     /// What is asked.
     #[prost(oneof = "Ask", tags = "2, 3, 4, 5, 6, 7")]
     pub ask: Option<Ask>,
@@ -300,9 +303,17 @@
     pub body: bytes::Bytes,
 }
 
-/// Online requests at an upstream, as another entry VM sees them.
+/// Online requests, as another entry VM sees them.
 #[derive(Clone, PartialEq, prost::Message)]
 pub struct Waiting {
+    /// Its upstreams with online requests.
+    #[prost(message, repeated, tag = "1")]
+    pub rooms: Vec<Room>,
+}
+
+/// Online requests of one VM at one upstream.
+#[derive(Clone, PartialEq, prost::Message)]
+pub struct Room {
     /// Which upstream.
     #[prost(string, tag = "1")]
     pub upstream: String,
