--- a/src/node/callers.rs
+++ b/src/node/callers.rs
@@ -8,7 +8,8 @@
 use actix_web::{App, HttpServer, web};
 
 use crate::admission::{Gate, Line};
-use crate::api::{caller, entries};
+use crate::api::{caller, entries, jobs};
+use crate::batch::{self, Claimant};
 use crate::context::Context;
 use crate::error::{Error, Kind, Result};
 use crate::filter::{Chain, Services};
@@ -27,6 +28,8 @@
     pub line: Arc<dyn Line>,
     /// Choice of upstream.
     pub router: Arc<Router>,
+    /// Segments of jobs and claims.
+    pub batch: batch::Client,
 }
 
 impl Traffic {
@@ -37,8 +40,10 @@
             let chain = Chain::new(self.services());
             App::new()
                 .app_data(web::Data::new(self.context.clone()))
+                .app_data(web::Data::new(jobs::State::new(self.batch.clone())))
                 .app_data(web::Data::new(caller::State::new(chain, body_limit)))
                 .configure(entries::configure)
+                .configure(jobs::configure)
                 .configure(caller::configure)
         })
         .workers(settings.threads)
@@ -59,7 +64,7 @@
             line: self.line.clone(),
             router: self.router.clone(),
             client: Rc::new(upstream::Http::new(self.context.clock.clone())),
-            claims: None,
+            claims: Some(Rc::new(Claimant::new(self.batch.clone()))),
         }
     }
 }
--- a/src/node/entry.rs
+++ b/src/node/entry.rs
@@ -17,6 +17,7 @@
 use super::{Listener, pages};
 use crate::admission::{self, Admission};
 use crate::api::operator::{Credentials, configure};
+use crate::batch;
 use crate::clock::Monotonic;
 use crate::context::Context;
 use crate::control;
@@ -25,6 +26,7 @@
 use crate::event::Event;
 use crate::route::Router;
 use crate::settings;
+use crate::upstream;
 use crate::view::Shared;
 use crate::wire::{Areas, Handler, Pool};
 
@@ -68,6 +70,11 @@
     let resources = resources(&settings, &handle);
     let servers = vec![
         traffic(&context, router, admission).serve(&settings, caller.socket)?,
+    let traffic = traffic(&context, router);
+    start_control(&control, traffic.clone(), settings.clone(), peer.socket, commands);
+    let resources = resources(&settings, &handle);
+    let servers = vec![
+        traffic.serve(&settings, caller.socket)?,
         pages::serve(&context, operator.socket, resources)?,
     ];
     emit!(context.log, Event::Started,
@@ -110,13 +117,16 @@
     control: &Arbiter,
     router: Arc<Router>,
     admission: Admission,
+    traffic: Traffic,
     settings: settings::Entry,
     peer: std::net::TcpListener,
     commands: control::Commands,
 ) {
     control.spawn_fn(move || {
-        let context = router.context().clone();
+        let Traffic { context, line, router, batch: client, .. } = traffic;
         let online: Rc<dyn Handler> = Rc::new(router.quarantine.clone());
+        let upstreams = Rc::new(upstream::Http::new(context.clock.clone()));
+        let batch: Rc<dyn Handler> = batch::start(client, line, upstreams);
         actix_rt::spawn(router.run());
         let platform = control::Platform::from(&settings.platform);
         let limits = admission::start(admission, &platform, &settings.platform.prefix);
@@ -126,6 +136,7 @@
             config: Some(handlers.config),
             limits: Some(limits),
             online: Some(online),
+            batch: Some(batch),
             ..Areas::default()
         };
         actix_rt::spawn(super::peers::serve(context, settings.fleet_secret, areas, peer));
@@ -150,5 +161,6 @@
         gate: Arc::new(admission.shares),
         line: Arc::new(admission.line),
         router,
+        batch: batch::Client::new(context.clone()),
     }
 }
--- a/src/node/store.rs
+++ b/src/node/store.rs
@@ -1,11 +1,13 @@
 //! A store VM.
 
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::sync::Arc;
 
 use actix_rt::Arbiter;
 use actix_web::dev::ServerHandle;
 use slog::{Logger, o};
+use tokio::sync::oneshot;
 
 use super::{Listener, pages};
 use crate::clock::Monotonic;
@@ -15,8 +17,9 @@
 use crate::error::{Error, Kind, Result};
 use crate::event::Event;
 use crate::settings;
+use crate::store::Store as Segments;
 use crate::view::Shared;
-use crate::wire::{Areas, Pool};
+use crate::wire::{Areas, Handler, Pool};
 
 /// A running store VM.
 pub struct Node {
@@ -26,6 +29,8 @@
     pub peer: SocketAddr,
     /// Its surroundings.
     pub context: Context,
+    /// Its segments.
+    pub segments: Arc<Segments>,
     control: Arbiter,
     pages: ServerHandle,
 }
@@ -49,11 +54,11 @@
         peers: Pool::new(settings.vm.clone(), settings.fleet_secret.clone()),
     };
     let control = Arbiter::new();
-    start_control(&control, context.clone(), settings, peer.socket);
+    let segments = start_control(&control, context.clone(), settings, peer.socket).await?;
     let pages = pages::serve(&context, operator.socket, |_| {})?;
     emit!(context.log, Event::Started,
         "operator" => operator.address.to_string(), "peer" => peer.address.to_string());
-    Ok(Node { operator: operator.address, peer: peer.address, context, control, pages })
+    Ok(Node { operator: operator.address, peer: peer.address, context, segments, control, pages })
 }
 
 impl Node {
@@ -61,19 +66,33 @@
     pub async fn stop(self) {
         emit!(self.context.log, Event::Stopping);
         self.pages.stop(true).await;
+        self.segments.stop().await;
         self.control.stop();
         emit!(self.context.log, Event::Stopped);
     }
 }
 
-fn start_control(
+async fn start_control(
     control: &Arbiter,
     context: Context,
     settings: settings::Store,
     peer: std::net::TcpListener,
-) {
+) -> Result<Arc<Segments>> {
+    let (started, segments) = oneshot::channel();
     control.spawn_fn(move || {
         let platform = control::Platform::from(&settings.platform);
+        let key_value = platform.key_value.clone();
+        let prefix = &settings.platform.prefix;
+        let segments = match crate::store::start(context.clone(), &settings.data, prefix, key_value)
+        {
+            Ok(segments) => segments,
+            Err(error) => {
+                let _ = started.send(Err(error));
+                return;
+            }
+        };
+        let batch: Rc<dyn Handler> = Rc::new(segments.clone());
+        let areas = Areas { batch: Some(batch), ..Areas::default() };
         let (_, commands) = control::channel();
         let handlers = control::start(context.clone(), (&settings).into(), platform, commands);
         let areas = Areas {
@@ -82,5 +101,8 @@
             ..Areas::default()
         };
         actix_rt::spawn(super::peers::serve(context, settings.fleet_secret, areas, peer));
+        let _ = started.send(Ok(segments));
     });
+    let ended = || Error::new(Kind::Internal, "the control thread ended");
+    segments.await.map_err(|_| ended())?
 }
--- a/src/store/engine.rs
+++ b/src/store/engine.rs
@@ -52,6 +52,13 @@
 
     /// Handles commands until the channel closes or `Stop` comes.
     pub fn run(mut self, mut commands: mpsc::Receiver<Command>) {
+        self.serve(&mut commands);
+        // The disk is closed before whoever waits for the end hears of it.
+        drop(self);
+        drop(commands);
+    }
+
+    fn serve(&mut self, commands: &mut mpsc::Receiver<Command>) {
         while let Some(first) = commands.blocking_recv() {
             let mut round = vec![first];
             while round.len() < ROUND {
--- a/src/store/shell.rs
+++ b/src/store/shell.rs
@@ -2,6 +2,7 @@
 
 use std::path::Path;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 
 use futures_util::future::LocalBoxFuture;
@@ -29,6 +30,7 @@
 const APPEND_TIMEOUT: Duration = Duration::from_secs(2);
 
 /// A running store; answers messages about batches.
+#[derive(Debug)]
 pub struct Store {
     commands: mpsc::Sender<Command>,
     disk: u64,
@@ -44,7 +46,7 @@
     folder: &Path,
     prefix: &str,
     key_value: Rc<dyn KeyValue>,
-) -> Result<Rc<Store>> {
+) -> Result<Arc<Store>> {
     let disk = Disk::open(folder, rand::random())?;
     let own = Replica { vm: context.vm.clone(), disk: disk.identity() };
     let (outputs, outgoing) = mpsc::unbounded_channel();
@@ -64,7 +66,7 @@
             actix_rt::time::sleep(SUPERVISE).await;
         }
     });
-    Ok(Rc::new(Store { commands, disk: own.disk }))
+    Ok(Arc::new(Store { commands, disk: own.disk }))
 }
 
 async fn tick(commands: mpsc::Sender<Command>) {
@@ -168,7 +170,7 @@
     }
 }
 
-impl Handler for Store {
+impl Handler for Arc<Store> {
     fn handle(&self, _peer: Peer, body: wire::Body) -> LocalBoxFuture<'_, Result<wire::Body>> {
         Box::pin(self.answer(body))
     }
