--- a/src/node/store.rs
+++ b/src/node/store.rs
@@ -92,12 +92,12 @@
             }
         };
         let batch: Rc<dyn Handler> = Rc::new(segments.clone());
-        let areas = Areas { batch: Some(batch), ..Areas::default() };
         let (_, commands) = control::channel();
         let handlers = control::start(context.clone(), (&settings).into(), platform, commands);
         let areas = Areas {
             member: Some(handlers.member),
             config: Some(handlers.config),
+            batch: Some(batch),
             ..Areas::default()
         };
         actix_rt::spawn(super::peers::serve(context, settings.fleet_secret, areas, peer));
