--- a/src/node/entry.rs
+++ b/src/node/entry.rs
@@ -59,19 +59,8 @@
     let (handle, commands) = control::channel();
     let router = Router::new(context.clone(), rand::random());
     let admission = Admission::new(context.clone(), router.balance.clone());
-    start_control(
-        &control,
-        router.clone(),
-        admission.clone(),
-        settings.clone(),
-        peer.socket,
-        commands,
-    );
-    let resources = resources(&settings, &handle);
-    let servers = vec![
-        traffic(&context, router, admission).serve(&settings, caller.socket)?,
-    let traffic = traffic(&context, router);
-    start_control(&control, traffic.clone(), settings.clone(), peer.socket, commands);
+    let traffic = traffic(&context, router, admission.clone());
+    start_control(&control, traffic.clone(), admission, settings.clone(), peer.socket, commands);
     let resources = resources(&settings, &handle);
     let servers = vec![
         traffic.serve(&settings, caller.socket)?,
@@ -115,9 +104,8 @@
 
 fn start_control(
     control: &Arbiter,
-    router: Arc<Router>,
-    admission: Admission,
     traffic: Traffic,
+    admission: Admission,
     settings: settings::Entry,
     peer: std::net::TcpListener,
     commands: control::Commands,
@@ -137,7 +125,6 @@
             limits: Some(limits),
             online: Some(online),
             batch: Some(batch),
-            ..Areas::default()
         };
         actix_rt::spawn(super::peers::serve(context, settings.fleet_secret, areas, peer));
     });
