Wait for the demo's job by its phase

Cause: the check read a field that job status doesn't have. Ruled out: counting succeeded items alone; a finished job may have failures, which the results then show. Before: the batch step fails although all 100 items succeeded. Conclusion: the phase is the job's own word.

--- a/programs/src/command/demo/check.rs
+++ b/programs/src/command/demo/check.rs
@@ -84,7 +84,7 @@
     caller.call(Method::POST, path, body.join("\n")).await?.success("submit")?;
     while started.elapsed() < JOB_TIMEOUT {
         let status = caller.get("/v1/batches/demo").await?.success("status")?.json()?;
-        if status["completed"].as_u64() == Some(ITEMS as u64) {
+        if status["phase"] == "finished" {
             return results(caller, started).await;
         }
         tokio::time::sleep(POLL).await;
