Lease upstream slots over all VMs, and drain entry VMs

Cause: each VM had a fixed part of every upstream, most of them none at 9 VMs and 8 slots; a planned stop closed the listener under callers that had just been sent there. Conclusion: capacity is respected by starts; what runs on in a VM that was cut off is not taken back.

--- a/programs/src/entry.rs
+++ b/programs/src/entry.rs
@@ -15,7 +15,7 @@
         let log = parsleybeam::log::logger(&settings.log);
         let node = entry::start(settings, log).await?;
         daemon::until_stopped().await;
-        node.stop().await;
+        node.drain().await;
         Ok(())
     })
 }
--- a/src/admission/mod.rs
+++ b/src/admission/mod.rs
@@ -3,6 +3,7 @@
 mod peers;
 mod start;
 
+pub mod capacity;
 pub mod home;
 pub mod queue;
 pub mod rank;
--- a/src/admission/peers.rs
+++ b/src/admission/peers.rs
@@ -2,6 +2,7 @@
 
 use futures_util::future::{LocalBoxFuture, ready};
 
+use super::capacity::Capacity;
 use super::share::Shares;
 use crate::error::{Error, Kind, Result};
 use crate::wire::{Body, Handler, Peer, limits};
@@ -10,24 +11,29 @@
 pub struct Limits {
     /// This VM's shares.
     pub shares: Shares,
+    /// The upstreams whose slots this VM leases.
+    pub capacity: Capacity,
 }
 
 impl Limits {
-    fn answer(&self, message: limits::Message) -> Result<limits::Body> {
+    fn answer(&self, peer: &Peer, message: limits::Message) -> Result<limits::Body> {
         match message.body {
             Some(limits::Body::Ask(ask)) => self.shares.report(&ask).map(limits::Body::Report),
             Some(limits::Body::Borrow(borrow)) => Ok(limits::Body::Lent(self.shares.lend(&borrow))),
+            Some(limits::Body::Want(want)) => {
+                Ok(limits::Body::Leased(self.capacity.lease(&peer.vm, &want)))
+            }
             _ => Err(Error::new(Kind::Peer, "not a question about limits")),
         }
     }
 }
 
 impl Handler for Limits {
-    fn handle(&self, _peer: Peer, body: Body) -> LocalBoxFuture<'_, Result<Body>> {
+    fn handle(&self, peer: Peer, body: Body) -> LocalBoxFuture<'_, Result<Body>> {
         let Body::Limits(message) = body else {
             return Box::pin(ready(Err(Error::new(Kind::Peer, "not about limits"))));
         };
-        let answer = self.answer(message);
+        let answer = self.answer(&peer, message);
         Box::pin(ready(answer.map(|body| Body::Limits(limits::Message { body: Some(body) }))))
     }
 }
--- a/src/admission/queue/fair.rs
+++ b/src/admission/queue/fair.rs
@@ -5,18 +5,22 @@
 
 use futures_util::future::LocalBoxFuture;
 use parking_lot::Mutex;
-use tokio::sync::oneshot;
+use tokio::sync::{Notify, oneshot};
 
 use super::flow::Order;
 use super::machine::{Grant, Queue, Refusal};
 use super::slots::Slot;
-use crate::admission::{Line, Permit, Pick, Ticket, rank, refusal};
+use crate::admission::capacity::{Lessee, Want, fallback};
+use crate::admission::{Line, Permit, Pick, Ticket, refusal};
 use crate::clock::Time;
 use crate::context::Context;
 use crate::error::Result;
 use crate::id;
 use crate::upstream::Room;
-use crate::view::{Role, State, View};
+use crate::view::{State, View};
+
+/// One spare slot is wanted for this many busy ones.
+const SPARE_PART: u32 = 4;
 
 /// Line over fair queues; cheap to clone.
 #[derive(Clone)]
@@ -28,11 +32,16 @@
     context: Context,
     pick: Arc<dyn Pick>,
     state: Mutex<Inside>,
+    starved: Notify,
 }
 
 struct Inside {
     queue: Queue,
     view: Option<Arc<View>>,
+    lessee: Lessee,
+    leases: bool,
+    /// When the slots must be computed anew.
+    changes: Time,
     waiting: HashMap<u64, oneshot::Sender<id::Upstream>>,
 }
 
@@ -44,8 +53,16 @@
 
     /// Makes a line that serves in `order`.
     pub fn with_order(context: Context, pick: Arc<dyn Pick>, order: Order) -> Self {
-        let state = Inside { queue: Queue::new(order), view: None, waiting: HashMap::new() };
-        Self { inner: Arc::new(Inner { context, pick, state: Mutex::new(state) }) }
+        let state = Inside {
+            queue: Queue::new(order),
+            view: None,
+            lessee: Lessee::default(),
+            leases: false,
+            changes: Time::NEVER,
+            waiting: HashMap::new(),
+        };
+        let (state, starved) = (Mutex::new(state), Notify::new());
+        Self { inner: Arc::new(Inner { context, pick, state, starved }) }
     }
 
     /// Starts what can run after the view or the slots changed.
@@ -53,11 +70,42 @@
         self.start();
     }
 
+    /// Uses leased slots from here on, not an even part of the capacity.
+    pub fn use_leases(&self) {
+        let mut state = self.inner.state.lock();
+        state.leases = true;
+        state.view = None;
+    }
+
+    /// Takes a lease in.
+    pub fn receive(&self, upstream: &id::Upstream, count: u32, asked: Time) {
+        let mut state = self.inner.state.lock();
+        state.lessee.receive(upstream, count, asked);
+        state.changes = Time(0);
+    }
+
+    /// What to ask now of the owners of those upstreams that `ask` chooses.
+    pub fn wants<F>(&self, ask: F) -> (Time, Vec<(id::Upstream, Want)>)
+    where
+        F: Fn(&id::Upstream) -> bool,
+    {
+        let now = self.inner.context.clock.now();
+        (now, self.inner.state.lock().wants(ask, now))
+    }
+
+    /// Waits until a request waits for want of a slot.
+    pub async fn starved(&self) {
+        self.inner.starved.notified().await;
+    }
+
     fn start(&self) {
         let now = self.inner.context.clock.now();
         let mut state = self.inner.state.lock();
-        state.adopt(self.inner.context.shared.load(), &self.inner.context.vm);
+        state.adopt(self.inner.context.shared.load(), &self.inner.context.vm, now);
         let grants = state.queue.start(&*self.inner.pick, now);
+        if state.queue.any_waiting() {
+            self.inner.starved.notify_one();
+        }
         for Grant { id, upstream } in grants {
             let waiter = state.waiting.remove(&id);
             // A waiter that is gone has left the queue before, so this send
@@ -72,7 +120,7 @@
         let mut state = self.inner.state.lock();
         let view = self.inner.context.shared.load();
         let weight = view.organisations.get(&ticket.organisation).map_or(1, |spec| spec.weight);
-        state.adopt(view, &self.inner.context.vm);
+        state.adopt(view, &self.inner.context.vm, now);
         let id = state.queue.enter(ticket.clone(), weight, now).map_err(|reason| match reason {
             Refusal::NoUpstream => refusal::no_upstream(),
             Refusal::Late(span) => refusal::overloaded(span),
@@ -90,31 +138,52 @@
 }
 
 impl Inside {
-    fn adopt(&mut self, view: Arc<View>, own: &id::Vm) {
-        if self.view.as_ref().is_some_and(|held| Arc::ptr_eq(held, &view)) {
+    fn adopt(&mut self, view: Arc<View>, own: &id::Vm, now: Time) {
+        let known = self.view.as_ref().is_some_and(|held| Arc::ptr_eq(held, &view));
+        if known && !self.changes.passed(now) {
             return;
         }
-        self.queue.set_slots(static_slots(&view, own));
+        if !known {
+            let part = |upstream| fallback(&view, upstream).get(own).copied().unwrap_or(0);
+            let parts = view.upstreams.values().map(|one| (one.name.clone(), part(one)));
+            self.lessee.configure(parts.collect(), now);
+        }
+        let limit = |name: &id::Upstream| match self.leases {
+            true => self.lessee.limit(name, now),
+            false => self.lessee.fallback(name),
+        };
+        let slot = |upstream: &crate::view::Upstream| Slot {
+            serves: upstream.spec.serves.clone(),
+            limit: limit(&upstream.name),
+            live: upstream.state == State::Live,
+        };
+        let slots: BTreeMap<_, _> =
+            view.upstreams.iter().map(|(name, upstream)| (name.clone(), slot(upstream))).collect();
+        self.queue.set_slots(slots);
+        self.changes = if self.leases { self.lessee.next_change(now) } else { Time::NEVER };
         self.view = Some(view);
     }
-}
 
-/// Splits each upstream's capacity evenly over the entry members; the rest
-/// goes to those that rank first.
-fn static_slots(view: &View, own: &id::Vm) -> BTreeMap<id::Upstream, Slot> {
-    let entries = || view.members.values().filter(|member| member.role == Role::Entry);
-    let count = entries().count().max(1) as u32;
-    let slot = |upstream: &crate::view::Upstream| {
-        let order = rank::order(&upstream.name, entries().map(|member| &member.vm));
-        let place = order.iter().position(|vm| *vm == own).unwrap_or(0) as u32;
-        let extra = u32::from(place < upstream.spec.capacity % count);
-        Slot {
-            serves: upstream.spec.serves.clone(),
-            limit: upstream.spec.capacity / count + extra,
-            live: upstream.state == State::Live,
+    fn wants<F>(&mut self, ask: F, now: Time) -> Vec<(id::Upstream, Want)>
+    where
+        F: Fn(&id::Upstream) -> bool,
+    {
+        let mut wants = Vec::new();
+        for room in self.queue.room().into_iter().filter(|room| ask(&room.upstream)) {
+            let running = room.online_running;
+            let busy = running + room.online_waiting;
+            let want = busy + spare(busy);
+            let held = self.lessee.ask(&room.upstream, want, now);
+            wants.push((room.upstream, Want { want, running, held, sequence: now.0 }));
         }
-    };
-    view.upstreams.iter().map(|(name, upstream)| (name.clone(), slot(upstream))).collect()
+        self.changes = Time(0);
+        wants
+    }
+}
+
+/// Slots kept for the next requests, so that they needn't wait for an owner.
+fn spare(busy: u32) -> u32 {
+    1 + busy / SPARE_PART
 }
 
 /// A request in the queue; dropping it leaves the queue or ends its grant.
--- a/src/admission/queue/machine.rs
+++ b/src/admission/queue/machine.rs
@@ -109,6 +109,11 @@
         }
     }
 
+    /// Whether any request waits.
+    pub fn any_waiting(&self) -> bool {
+        self.targets.values().any(|target| target.flows.len() > 0)
+    }
+
     /// How many requests wait for a target.
     pub fn waiting(&self, target: &Serves) -> u64 {
         self.targets.get(target).map_or(0, |target| target.flows.len())
--- a/src/admission/share/shares.rs
+++ b/src/admission/share/shares.rs
@@ -38,7 +38,7 @@
     }
 
     /// Where this VM stands.
-    pub(super) fn context(&self) -> &Context {
+    pub fn context(&self) -> &Context {
         &self.inner.context
     }
 
--- a/src/admission/start.rs
+++ b/src/admission/start.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 
 use super::Pick;
+use super::capacity::{self, Capacity};
 use super::peers::Limits;
 use super::queue::Fair;
 use super::share::{self, Shares};
@@ -30,12 +31,14 @@
 /// Starts what keeps shares and leases, on the control arbiter; gives the
 /// handler of the limits area.
 pub fn start(admission: Admission, platform: &Platform, prefix: &str) -> Rc<dyn Handler> {
-    let Admission { shares, .. } = admission;
+    let Admission { shares, line } = admission;
+    let capacity = Capacity::new(shares.context().clone());
+    actix_rt::spawn(capacity::follow(capacity.clone(), line));
     actix_rt::spawn(share::follow(
         shares.clone(),
         platform.key_value.clone(),
         platform.vm_list.clone(),
         prefix.to_owned(),
     ));
-    Rc::new(Limits { shares })
+    Rc::new(Limits { shares, capacity })
 }
--- a/src/api/entries.rs
+++ b/src/api/entries.rs
@@ -7,13 +7,13 @@
 //! together.
 
 use actix_web::http::header;
-use actix_web::{HttpRequest, HttpResponse, web};
+use actix_web::{HttpRequest, HttpResponse, ResponseError, web};
 use rand::Rng;
 use rand::seq::SliceRandom;
 use serde::Deserialize;
 use sha2::{Digest as _, Sha256};
 
-use crate::admission::home;
+use crate::admission::{home, refusal};
 use crate::context::Context;
 use crate::id::{DataCentre, Organisation, Vm};
 use crate::view::{Digest, Member, Role, State, View};
@@ -60,6 +60,10 @@
     query: web::Query<Query>,
     context: web::Data<Context>,
 ) -> HttpResponse {
+    // A VM out of contact may not know who is leaving.
+    if !context.shared.contact.holds(context.clock.now()) {
+        return refusal::out_of_contact().error_response();
+    }
     let view = context.shared.load();
     let organisation = bearer(&request).and_then(|digest| view.keys.get(&digest));
     let near = query.data_centre.as_ref().unwrap_or(&context.data_centre);
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod config;
 pub mod context;
 pub mod control;
+pub mod drain;
 pub mod error;
 pub mod event;
 pub mod filter;
--- a/src/node/callers.rs
+++ b/src/node/callers.rs
@@ -4,13 +4,15 @@
 use std::rc::Rc;
 use std::sync::Arc;
 
-use actix_web::dev::ServerHandle;
+use actix_web::dev::{ServerHandle, Service, ServiceResponse};
+use actix_web::http::ConnectionType;
 use actix_web::{App, HttpServer, web};
 
 use crate::admission::{Gate, Line};
 use crate::api::{caller, entries, jobs};
 use crate::batch::{self, Claimant};
 use crate::context::Context;
+use crate::drain::{Closing, FINISH_TIMEOUT_S};
 use crate::error::{Error, Kind, Result};
 use crate::filter::{Chain, Services};
 use crate::route::Router;
@@ -30,6 +32,15 @@
     pub router: Arc<Router>,
     /// Segments of jobs and claims.
     pub batch: batch::Client,
+    /// Whether answers close their connections.
+    pub closing: Closing,
+}
+
+fn close<B>(mut answer: ServiceResponse<B>, closing: &Closing) -> ServiceResponse<B> {
+    if closing.get() {
+        answer.response_mut().head_mut().set_connection_type(ConnectionType::Close);
+    }
+    answer
 }
 
 impl Traffic {
@@ -38,7 +49,12 @@
         let body_limit = settings.body_limit;
         let server = HttpServer::new(move || {
             let chain = Chain::new(self.services());
+            let closing = self.closing.clone();
             App::new()
+                .wrap_fn(move |request, service| {
+                    let (answer, closing) = (service.call(request), closing.clone());
+                    async move { answer.await.map(|answer| close(answer, &closing)) }
+                })
                 .app_data(web::Data::new(self.context.clone()))
                 .app_data(web::Data::new(jobs::State::new(self.batch.clone())))
                 .app_data(web::Data::new(caller::State::new(chain, body_limit)))
@@ -48,6 +64,7 @@
         })
         .workers(settings.threads)
         .h1_allow_half_closed(false)
+        .shutdown_timeout(FINISH_TIMEOUT_S)
         .disable_signals()
         .listen(socket)
         .map_err(|error| Error::new(Kind::Internal, error.to_string()))?
--- a/src/node/entry.rs
+++ b/src/node/entry.rs
@@ -21,6 +21,7 @@
 use crate::clock::Monotonic;
 use crate::context::Context;
 use crate::control;
+use crate::drain;
 use crate::emit;
 use crate::error::Result;
 use crate::event::Event;
@@ -40,6 +41,8 @@
     pub peer: SocketAddr,
     /// Its surroundings.
     pub context: Context,
+    handle: control::Handle,
+    closing: drain::Closing,
     control: Arbiter,
     servers: Vec<ServerHandle>,
 }
@@ -59,7 +62,8 @@
     let (handle, commands) = control::channel();
     let router = Router::new(context.clone(), rand::random());
     let admission = Admission::new(context.clone(), router.balance.clone());
-    let traffic = traffic(&context, router, admission.clone());
+    let closing = drain::Closing::default();
+    let traffic = traffic(&context, router, admission.clone(), closing.clone());
     start_control(&control, traffic.clone(), admission, settings.clone(), peer.socket, commands);
     let resources = resources(&settings, &handle);
     let servers = vec![
@@ -74,18 +78,27 @@
         operator: operator.address,
         peer: peer.address,
         context,
+        handle,
+        closing,
         control,
         servers,
     })
 }
 
 impl Node {
-    /// A planned stop: finishes what runs, then ends.
+    /// A planned stop: callers go elsewhere first, then as `stop`.
+    pub async fn drain(self) {
+        drain::wait(&self.context, &self.handle, &self.closing).await;
+        self.stop().await;
+    }
+
+    /// Finishes what runs, then ends.
     pub async fn stop(self) {
         emit!(self.context.log, Event::Stopping);
         for server in self.servers {
             server.stop(true).await;
         }
+        drain::leave(&self.handle).await;
         self.control.stop();
         emit!(self.context.log, Event::Stopped);
     }
@@ -142,12 +155,18 @@
     }
 }
 
-fn traffic(context: &Context, router: Arc<Router>, admission: Admission) -> Traffic {
+fn traffic(
+    context: &Context,
+    router: Arc<Router>,
+    admission: Admission,
+    closing: drain::Closing,
+) -> Traffic {
     Traffic {
         context: context.clone(),
         gate: Arc::new(admission.shares),
         line: Arc::new(admission.line),
         router,
         batch: batch::Client::new(context.clone()),
+        closing,
     }
 }
--- a/src/simulate/mod.rs
+++ b/src/simulate/mod.rs
@@ -5,6 +5,7 @@
 //! The same seed gives the same run.
 
 mod agenda;
+pub mod capacity;
 mod conformance;
 pub mod rates;
 
--- a/src/wire/limits.rs
+++ b/src/wire/limits.rs
@@ -99,6 +99,9 @@
     /// What is wanted, by upstream.
     #[prost(message, repeated, tag = "1")]
     pub wants: Vec<Slots>,
+    /// Rises with each question of this VM.
+    #[prost(uint64, tag = "2")]
+    pub sequence: u64,
 }
 
 /// Leases slots at upstreams.
@@ -118,7 +121,10 @@
     /// How many.
     #[prost(uint32, tag = "2")]
     pub count: u32,
-    /// How many of them are in use.
+    /// How many the asker has in use.
     #[prost(uint32, tag = "3")]
     pub running: u32,
+    /// How many the asker holds by leases that haven't ended.
+    #[prost(uint32, tag = "4")]
+    pub held: u32,
 }
