--- a/programs/src/command/failure.rs
+++ b/programs/src/command/failure.rs
@@ -19,6 +19,15 @@
 }
 
 impl Failure {
+    /// Names what the failure is about.
+    pub fn about(self, subject: &str) -> Self {
+        match self {
+            Failure::Refused(text) => Failure::Refused(format!("{subject}: {text}")),
+            Failure::Input(text) => Failure::Input(format!("{subject}: {text}")),
+            Failure::Unreachable(text) => Failure::Unreachable(format!("{subject}: {text}")),
+        }
+    }
+
     /// The process's exit code.
     pub fn code(&self) -> ExitCode {
         ExitCode::from(match self {
@@ -32,7 +41,7 @@
 impl From<Error> for Failure {
     fn from(error: Error) -> Self {
         match error.kind {
-            Kind::Settings => Failure::Input(error.detail),
+            Kind::Settings | Kind::Invalid | Kind::Malformed => Failure::Input(error.detail),
             _ => Failure::Refused(error.detail),
         }
     }
--- a/programs/src/command/mod.rs
+++ b/programs/src/command/mod.rs
@@ -1,12 +1,22 @@
 //! The verbs of the operator's command, a file each.
 
+mod apply;
 mod check;
+mod delete;
 mod demo;
+mod describe;
+mod entries;
 mod failure;
+mod get;
+mod print;
+mod remote;
+mod status;
+mod watch;
 
 pub use failure::Failure;
 
 use gumdrop::Options;
+use parsleybeam::config::resource::Kind;
 
 /// Operates a parsleybeam fleet.
 #[derive(Debug, Options)]
@@ -25,6 +35,27 @@
 /// The verbs.
 #[derive(Debug, Options)]
 enum Command {
+    /// `apply`
+    #[options(help = "write resources from a file")]
+    Apply(apply::Arguments),
+    /// `get`
+    #[options(help = "list resources, or read one")]
+    Get(get::Arguments),
+    /// `describe`
+    #[options(help = "show one resource and where it is in force")]
+    Describe(describe::Arguments),
+    /// `watch`
+    #[options(help = "print changes as they come")]
+    Watch(watch::Arguments),
+    /// `delete`
+    #[options(help = "delete a resource")]
+    Delete(delete::Arguments),
+    /// `status`
+    #[options(help = "show the fleet as one VM sees it")]
+    Status(status::Arguments),
+    /// `entries`
+    #[options(help = "show which addresses callers are given")]
+    Entries(entries::Arguments),
     /// `check`
     #[options(help = "check a settings file")]
     Check(check::Arguments),
@@ -40,8 +71,32 @@
         return Ok(());
     }
     match arguments.command {
+        Some(Command::Apply(arguments)) => apply::run(&arguments).await,
+        Some(Command::Get(arguments)) => get::run(&arguments).await,
+        Some(Command::Describe(arguments)) => describe::run(&arguments).await,
+        Some(Command::Watch(arguments)) => watch::run(&arguments).await,
+        Some(Command::Delete(arguments)) => delete::run(&arguments).await,
+        Some(Command::Status(arguments)) => status::run(&arguments).await,
+        Some(Command::Entries(arguments)) => entries::run(&arguments).await,
         Some(Command::Check(arguments)) => check::run(&arguments),
         Some(Command::Demo(arguments)) => demo::run(&arguments).await,
         None => Err(Failure::Input("name a command; see parsleybeam --help".into())),
     }
 }
+
+/// Reads a kind, in the singular or plural.
+fn read_kind(text: &str) -> Result<Kind, Failure> {
+    let singular = text.strip_suffix('s').unwrap_or(text);
+    let known = Kind::ALL.into_iter().find(|kind| kind.to_string() == singular);
+    known.ok_or_else(|| Failure::Input(format!("no kind {text:?}")))
+}
+
+/// Path of a kind's list.
+fn list_path(kind: Kind) -> String {
+    format!("/api/v1/{kind}s")
+}
+
+/// Path of a resource.
+fn path(kind: Kind, name: &str) -> String {
+    format!("{}/{name}", list_path(kind))
+}
--- a/src/api/operator/mod.rs
+++ b/src/api/operator/mod.rs
@@ -1,7 +1,7 @@
 //! The resource API for operators.
 //!
 //! `/api/v1/{kind}s` lists and watches, `/api/v1/{kind}s/{name}` reads, writes
-//! and deletes. Every request needs an operator's bearer credential.
+//! and deletes, `/api/v1/status` shows the fleet. Every request needs an operator's bearer credential.
 
 mod answer;
 mod credential;
@@ -28,6 +28,7 @@
 pub fn configure(config: &mut web::ServiceConfig) {
     config.app_data(web::PayloadConfig::new(MAX_RESOURCE_BYTES)).service(
         web::scope("/api/v1")
+            .service(web::resource("/status").route(web::get().to(status)))
             .service(web::resource("/{kind}s").route(web::get().to(list)))
             .service(
                 web::resource("/{kind}s/{name}")
@@ -64,6 +65,11 @@
     Ok(HttpResponse::Ok().json(List { version, items }))
 }
 
+async fn status(request: HttpRequest, handle: Data<Handle>) -> Result<HttpResponse> {
+    credential::check(&request)?;
+    Ok(HttpResponse::Ok().json(handle.fleet().await?))
+}
+
 async fn read(
     request: HttpRequest,
     path: Path<(String, String)>,
--- a/src/config/mod.rs
+++ b/src/config/mod.rs
@@ -7,11 +7,13 @@
 pub mod resource;
 
 mod cache;
+mod document;
 mod stored;
 mod validate;
 mod write;
 
 pub use cache::{Adopted, Cache, Delta, Held, Item};
+pub use document::{Document, read_documents};
 pub use stored::{Address, Stored};
 pub use validate::{check, check_name, read_spec};
 pub use write::{Expected, Step, Write};
--- a/src/control/command.rs
+++ b/src/control/command.rs
@@ -9,7 +9,8 @@
 use crate::config::resource::{Kind, Spec};
 use crate::config::{Address, Expected};
 use crate::error::{self, Error, Result};
-use crate::view::State;
+use crate::id::{DataCentre, Vm};
+use crate::view::{Role, State};
 
 /// A resource as operators read it.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -40,6 +41,36 @@
     pub in_force: BTreeMap<String, u64>,
 }
 
+/// The fleet as one VM sees it.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Fleet {
+    /// Which VM.
+    pub vm: Vm,
+    /// Configuration version that it holds.
+    pub version: u64,
+    /// Whether it may act on it.
+    pub in_contact: bool,
+    /// Whether the key-value service answered its last call.
+    pub platform_reachable: bool,
+    /// The members.
+    pub members: Vec<Holding>,
+}
+
+/// A member and what it holds.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Holding {
+    /// Its name.
+    pub vm: Vm,
+    /// Where it stands.
+    pub data_centre: DataCentre,
+    /// What it does.
+    pub role: Role,
+    /// Whether it takes new work.
+    pub state: State,
+    /// Configuration version that it was last known to hold.
+    pub version: u64,
+}
+
 /// What a watch delivers.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Update {
@@ -69,6 +100,7 @@
     Write(Order),
     State(State),
     Leave(oneshot::Sender<Result<()>>),
+    Fleet(oneshot::Sender<Fleet>),
 }
 
 /// A wanted write.
@@ -132,6 +164,11 @@
         self.ask(Command::Leave).await?
     }
 
+    /// The fleet as this VM sees it, once every member was asked.
+    pub async fn fleet(&self) -> Result<Fleet> {
+        self.ask(Command::Fleet).await
+    }
+
     async fn ask<T, F>(&self, command: F) -> Result<T>
     where
         F: FnOnce(oneshot::Sender<T>) -> Command,
--- a/src/control/mod.rs
+++ b/src/control/mod.rs
@@ -16,7 +16,9 @@
 mod write;
 
 pub use crate::config::Expected;
-pub use command::{Commands, Handle, Resource, Status, Update, Updates, Written, channel};
+pub use command::{
+    Commands, Fleet, Handle, Holding, Resource, Status, Update, Updates, Written, channel,
+};
 pub use compose::compose;
 pub use handlers::Handlers;
 pub use settings::{Platform, Settings};
--- a/src/control/serve.rs
+++ b/src/control/serve.rs
@@ -4,12 +4,12 @@
 
 use tokio::sync::mpsc;
 
-use super::command::{Command, Commands, Resource, Status, Update, Updates};
+use super::command::{Command, Commands, Fleet, Holding, Resource, Status, Update, Updates};
 use super::shell::{Known, Shell};
 use crate::config::resource::{Kind, Spec};
 use crate::config::{Address, Held, Item, Stored};
 use crate::error::{self, Error, Result};
-use crate::view::State;
+use crate::view::{Member, State};
 
 /// Updates that may wait for a slow watcher before it is dropped.
 const WATCH_QUEUE: usize = 1_024;
@@ -34,6 +34,12 @@
                 Command::Write(order) => {
                     actix_rt::spawn(self.clone().write(order));
                 }
+                Command::Fleet(reply) => {
+                    let shell = self.clone();
+                    actix_rt::spawn(async move {
+                        let _ = reply.send(shell.fleet().await);
+                    });
+                }
                 Command::State(state) => self.set_state(state),
                 Command::Leave(reply) => {
                     let shell = self.clone();
@@ -59,6 +65,14 @@
     /// Reads a resource, asking every member which version it holds.
     async fn get(self: &Rc<Self>, address: &Address) -> Result<Resource> {
         self.find(address)?;
+        self.ask_all().await;
+        let mut resource = self.find(address)?;
+        resource.status = self.status(resource.version);
+        Ok(resource)
+    }
+
+    /// Asks every member which version it holds.
+    async fn ask_all(self: &Rc<Self>) {
         let members: Vec<_> = {
             let known = self.state.borrow();
             let members = known.machine.table().members.keys();
@@ -66,9 +80,26 @@
         };
         let asked = members.into_iter().map(|vm| self.clone().ask_held(vm));
         futures_util::future::join_all(asked).await;
-        let mut resource = self.find(address)?;
-        resource.status = self.status(resource.version);
-        Ok(resource)
+    }
+
+    async fn fleet(self: &Rc<Self>) -> Fleet {
+        self.ask_all().await;
+        let view = self.context.shared.load();
+        let known = self.state.borrow();
+        let holding = |member: &Member| Holding {
+            vm: member.vm.clone(),
+            data_centre: member.data_centre.clone(),
+            role: member.role,
+            state: member.state,
+            version: known.machine.held_by(&member.vm),
+        };
+        Fleet {
+            vm: known.own.vm.clone(),
+            version: known.machine.cache().version(),
+            in_contact: self.context.shared.contact.holds(self.now()),
+            platform_reachable: known.machine.reachable(),
+            members: view.members.values().map(holding).collect(),
+        }
     }
 
     fn find(&self, address: &Address) -> Result<Resource> {
--- a/src/member/simulate/faults.rs
+++ b/src/member/simulate/faults.rs
@@ -6,16 +6,21 @@
 
 use super::node::Node;
 use super::world::World;
+use crate::clock::Time;
 
 impl World {
     /// Injects a fault now and then, and heals.
     pub(super) fn inject(&mut self) {
+        if self.storm_at.passed(self.now) {
+            self.storm_at = Time::NEVER;
+            self.break_storm();
+        }
         let chance = self.options.faults_per_mille;
         if !self.random.random_ratio(chance, 1_000) {
             return;
         }
         self.report.faults += 1;
-        match self.random.random_range(0..16) {
+        match self.random.random_range(0..18) {
             0 => self.outage(),
             1 => self.slowness(),
             2 | 3 => self.freeze(),
@@ -26,6 +31,7 @@
             9 | 10 => self.restart(),
             11 => self.kill(),
             12 => self.replace(),
+            13 | 14 => self.storm(),
             _ => self.heal(),
         }
     }
@@ -88,6 +94,40 @@
         self.log(format!("fleet split, side {with} reaches the platform"));
     }
 
+    /// Several faults that only together could bring back what was withdrawn:
+    /// a split, writes on the side that reaches the platform, then an outage
+    /// in which VMs of that side restart and find themselves on the other.
+    fn storm(&mut self) {
+        for index in 0..self.nodes.len() {
+            let side = u8::from(self.random.random_ratio(4, 9));
+            self.nodes[index].side = side;
+            self.nodes[index].reaches_platform = side == 0;
+        }
+        let span = self.span(6_000);
+        self.storm_at = self.now.after(span);
+        self.last_fault = self.storm_at;
+        self.log(format!("fleet split for {span:?}, side 0 reaches the platform"));
+    }
+
+    fn break_storm(&mut self) {
+        let span = Duration::from_millis(self.random.random_range(10_000..40_000));
+        self.service.down_until = self.now.after(span);
+        let change = self.random.random_ratio(3, 4);
+        for index in 0..self.nodes.len() {
+            if self.nodes[index].side != 0 || !self.random.random_ratio(1, 3) {
+                continue;
+            }
+            if change {
+                self.nodes[index].side = 1;
+            }
+            if self.nodes[index].up && self.random.random_ratio(2, 3) {
+                self.start_again(index);
+            }
+        }
+        self.last_fault = self.now;
+        self.log(format!("platform down for {span:?}, VMs restart and change sides"));
+    }
+
     fn cut_from_platform(&mut self) {
         let index = self.any();
         self.nodes[index].reaches_platform = false;
--- a/src/platform/http.rs
+++ b/src/platform/http.rs
@@ -4,7 +4,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use awc::error::SendRequestError;
+use awc::error::{ConnectError, SendRequestError};
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 
@@ -140,9 +140,20 @@
 
 fn failure(error: SendRequestError) -> Failure {
     let detail = format!("the platform can't be reached: {error}");
+    let not_sent = match error {
+        SendRequestError::Connect(error) => refused_connection(&error),
+        _ => false,
+    };
+    if not_sent { Failure::NotSent(detail) } else { Failure::Unknown(detail) }
+}
+
+/// Whether no connection came about. The client also calls a connection that
+/// closes before the answer a connect error (`Disconnected`).
+fn refused_connection(error: &ConnectError) -> bool {
     match error {
-        SendRequestError::Url(_) | SendRequestError::Connect(_) => Failure::NotSent(detail),
-        _ => Failure::Unknown(detail),
+        ConnectError::Timeout => true,
+        ConnectError::Io(error) => error.kind() == std::io::ErrorKind::ConnectionRefused,
+        _ => false,
     }
 }
 
