Add groups of faults to the config random run

Cause: single random faults never met the case that voting guards, a holder that restarts in an outage that follows the write at once.

--- a/src/member/simulate/service.rs
+++ b/src/member/simulate/service.rs
@@ -2,6 +2,8 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
+use std::time::Duration;
+
 use crate::clock::Time;
 use crate::id::{DataCentre, Vm};
 use crate::platform::{Entry, Range, Swap, Swapped};
@@ -16,6 +18,8 @@
     pub(super) listed: BTreeSet<Vm>,
     pub(super) down_until: Time,
     pub(super) slow_until: Time,
+    /// When the service last went from well to down or slow.
+    pub(super) troubled_from: Time,
     /// Values that were ever applied, to judge what operators were told.
     pub(super) applied: BTreeSet<Vec<u8>>,
 }
@@ -29,6 +33,21 @@
         !self.slow_until.passed(now)
     }
 
+    /// When the service was last well, up to now.
+    pub(super) fn last_well(&self, now: Time) -> Time {
+        if self.is_down(now) || self.is_slow(now) { self.troubled_from } else { now }
+    }
+
+    pub(super) fn fail(&mut self, now: Time, span: Duration) {
+        self.troubled_from = self.last_well(now);
+        self.down_until = now.after(span);
+    }
+
+    pub(super) fn slow_down(&mut self, now: Time, span: Duration) {
+        self.troubled_from = self.last_well(now);
+        self.slow_until = now.after(span);
+    }
+
     pub(super) fn since(&self, version: u64) -> Range {
         let entries = self.entries.values().filter(|entry| entry.version > version);
         Range { version: self.version, entries: entries.cloned().collect() }
--- a/src/member/simulate/world.rs
+++ b/src/member/simulate/world.rs
@@ -49,11 +49,20 @@
     pub writes_per_mille: u32,
     /// Whether the platform gives a VM list.
     pub vm_list: bool,
+    /// Whether faults also come in groups that aim at what was just accepted.
+    pub storms: bool,
 }
 
 impl Default for Options {
     fn default() -> Self {
-        Self { centres: 3, vms: 3, faults_per_mille: 12, writes_per_mille: 60, vm_list: true }
+        Self {
+            centres: 3,
+            vms: 3,
+            faults_per_mille: 12,
+            writes_per_mille: 60,
+            vm_list: true,
+            storms: true,
+        }
     }
 }
 
