--- a/src/filter/chain.rs
+++ b/src/filter/chain.rs
@@ -18,7 +18,9 @@
 use crate::admission::{Gate, Line};
 use crate::claim::Claims;
 use crate::context::Context;
+use crate::emit;
 use crate::error::{Error, Kind, Result};
+use crate::event::Event;
 use crate::id::Organisation;
 use crate::route::Router;
 use crate::trace::{self, TRACEPARENT};
@@ -84,6 +86,10 @@
         metrics::counter!("parsleybeam_requests_total", "outcome" => outcome).increment(1);
         metrics::histogram!("parsleybeam_request_seconds", "outcome" => outcome)
             .record(started.until(clock.now()).as_secs_f64());
+        if let Err(error) = &reply {
+            emit!(self.services.context.log, Event::RequestFailed,
+                "request" => &request, "kind" => outcome, "detail" => &error.detail);
+        }
         (request, reply)
     }
 
--- a/src/filter/relay.rs
+++ b/src/filter/relay.rs
@@ -173,6 +173,7 @@
             if attempt.status != 200 {
                 return Err(broken());
             }
+            metrics::counter!("parsleybeam_stream_resumes_total").increment(1);
         }
     }
 
--- a/src/filter/send.rs
+++ b/src/filter/send.rs
@@ -190,16 +190,22 @@
                 balance.lost(&upstream, now);
             }
             Failure::Sent(_) if failure.broke_off() => {
+                metrics::counter!("parsleybeam_broken_answers_total").increment(1);
                 emit!(self.services.context.log, Event::UpstreamDied,
                     "upstream" => upstream.to_string());
                 balance.lost(&upstream, now);
                 guard.died().await;
             }
-            Failure::Sent(_) => balance.failed(&upstream, now),
+            Failure::Sent(_) => {
+                metrics::counter!("parsleybeam_wrong_answers_total").increment(1);
+                balance.failed(&upstream, now);
+            }
         }
         self.ticket.excluded.push(upstream.clone());
         let (router, organisation) = (&self.services.router, &self.ticket.organisation);
-        self.course.failed(failure, now, || router.withdraw(organisation, &upstream, now))
+        self.course.failed(failure, now, || router.withdraw(organisation, &upstream, now))?;
+        metrics::counter!("parsleybeam_retries_total").increment(1);
+        Ok(())
     }
 
     /// Whether a whole answer only says that the upstream can't serve now.
@@ -217,7 +223,9 @@
         self.ticket.excluded.push(upstream.clone());
         let (router, organisation) = (&self.services.router, &self.ticket.organisation);
         let failure = Failure::Sent(Error::new(Kind::UpstreamFailed, "turned away"));
-        self.course.failed(failure, now, || router.withdraw(organisation, &upstream, now))
+        self.course.failed(failure, now, || router.withdraw(organisation, &upstream, now))?;
+        metrics::counter!("parsleybeam_retries_total").increment(1);
+        Ok(())
     }
 
     /// Takes note of a whole answer.
--- a/src/route/quarantine.rs
+++ b/src/route/quarantine.rs
@@ -31,8 +31,10 @@
 const PROBE_TIMEOUT: Duration = Duration::from_millis(500);
 /// How long a keeper that gave no answer isn't asked.
 const SILENCE: Duration = Duration::from_secs(2);
-/// Pause before a request that must wait is tried again.
-const RETRY_PAUSE: Duration = Duration::from_millis(10);
+/// First pause before a request that must wait is tried again; it doubles.
+const FIRST_PAUSE: Duration = Duration::from_millis(5);
+/// Longest such pause.
+const LONGEST_PAUSE: Duration = Duration::from_millis(80);
 /// Messages and probes that may wait; more are dropped, and a run whose end
 /// isn't told ends with its deadline.
 const WORK_QUEUE: usize = 8_192;
@@ -141,6 +143,7 @@
             number: self.inner.next.fetch_add(1, Ordering::Relaxed),
         };
         let mut guard = Guard::new(self.clone(), print, run);
+        let mut pause = FIRST_PAUSE;
         loop {
             self.check(print)?;
             let now = self.inner.context.clock.now();
@@ -157,7 +160,10 @@
                     self.inner.poison.lock().condemn(print, now);
                     return Err(quarantined());
                 }
-                Verdict::Wait => tokio::time::sleep(pause()).await,
+                Verdict::Wait => {
+                    tokio::time::sleep(jitter(pause)).await;
+                    pause = (pause * 2).min(LONGEST_PAUSE);
+                }
             }
             if deadline.passed(self.inner.context.clock.now()) {
                 let detail = "other runs of the same request haven't ended";
@@ -230,6 +236,7 @@
     fn end(&self, print: Fingerprint, run: &Run, how: Outcome) {
         let now = self.inner.context.clock.now();
         if self.inner.poison.lock().end(print, run, how, now) {
+            metrics::counter!("parsleybeam_quarantined_total").increment(1);
             emit!(self.inner.context.log, Event::RequestQuarantined,
                 "fingerprint" => format!("{:032x}", print.0));
         }
@@ -404,8 +411,8 @@
 }
 
 /// Differs from try to try, so that two requests don't block each other.
-fn pause() -> Duration {
-    RETRY_PAUSE.mul_f64(0.5 + rand::random::<f64>())
+fn jitter(pause: Duration) -> Duration {
+    pause.mul_f64(0.5 + rand::random::<f64>())
 }
 
 fn quarantined() -> Error {
--- a/tests/caller.rs
+++ b/tests/caller.rs
@@ -397,3 +397,39 @@
     assert!(name(0).is_some_and(|name| !name.is_empty()));
     assert_ne!(name(0), name(1));
 }
+
+/// Sends one request on a kept connection and reads its answer's first line.
+fn ask_again(stream: &mut std::net::TcpStream) -> String {
+    let request = format!(
+        "POST /v1/completions HTTP/1.1\r\nhost: x\r\nauthorization: Bearer {KEY}\r\n\
+         content-length: {}\r\n\r\n{ASK}",
+        ASK.len()
+    );
+    stream.write_all(request.as_bytes()).expect("write");
+    let mut answer = Vec::new();
+    let mut buffer = [0; 4_096];
+    while !answer.ends_with(b"}") {
+        let count = stream.read(&mut buffer).expect("read");
+        assert!(count > 0, "the connection was closed");
+        answer.extend_from_slice(&buffer[..count]);
+    }
+    String::from_utf8_lossy(&answer).lines().next().unwrap_or_default().to_owned()
+}
+
+#[actix_rt::test]
+async fn call_withdrawn_on_kept_connection() {
+    let engine = Engine::default();
+    let entry = entry(view(&[engine.start()], &[]), no_claims);
+    let mut stream = std::net::TcpStream::connect(entry.address).expect("connect");
+    let ask = |mut stream: std::net::TcpStream| async move {
+        let asked = move || (ask_again(&mut stream), stream);
+        actix_web::web::block(asked).await.expect("asked")
+    };
+    let (answer, kept) = ask(stream).await;
+    assert_eq!(answer, "HTTP/1.1 200 OK");
+    stream = kept;
+    entry.context.shared.view.store(std::sync::Arc::new(View::default()));
+    let (answer, _) = ask(stream).await;
+    assert_eq!(answer, "HTTP/1.1 401 Unauthorized");
+    assert_eq!(engine.count(), 1);
+}
