Drive the holders of shares by scenarios, measure refusals

Cause: the rate bound had random runs but no scripted scenario, and refusals within the rate were not measured against a fixed split.

--- a/standins/src/bench/experiment/mod.rs
+++ b/standins/src/bench/experiment/mod.rs
@@ -2,6 +2,7 @@
 
 mod fairness;
 mod measure;
+mod refusals;
 mod tail;
 
 use super::{Outcome, Setup};
@@ -29,6 +30,11 @@
         about: "the worst-served organisation under a flood, against first come, first served",
         run: fairness::run,
     },
+    Experiment {
+        name: "refusals",
+        about: "requests refused within their rate, against a fixed equal split",
+        run: refusals::run,
+    },
 ];
 
 /// Finds an experiment.
--- a/standins/src/bench/random.rs
+++ b/standins/src/bench/random.rs
@@ -4,7 +4,8 @@
 type Run = fn(u64, u64) -> Result<String, String>;
 
 /// Every random run, by name.
-pub const RUNS: &[(&str, Run)] = &[("config", config), ("online", online), ("segments", segments)];
+pub const RUNS: &[(&str, Run)] =
+    &[("config", config), ("online", online), ("rates", rates), ("segments", segments)];
 
 fn config(seed: u64, steps: u64) -> Result<String, String> {
     told(parsleybeam::member::simulate::simulate(seed, short(steps)))
@@ -14,6 +15,10 @@
     told(parsleybeam::route::simulate::simulate(seed, short(steps)))
 }
 
+fn rates(seed: u64, steps: u64) -> Result<String, String> {
+    told(parsleybeam::simulate::rates::simulate(seed, steps))
+}
+
 fn segments(seed: u64, steps: u64) -> Result<String, String> {
     told(parsleybeam::segment::simulate(seed, steps))
 }
--- /dev/null
+++ b/tests/scenarios.rs
@@ -0,0 +1,37 @@
+//! Scenarios that drive the decisions on a virtual clock; one file each in
+//! `scenarios/`.
+
+mod stage;
+
+use stage::Stage;
+
+fn play(name: &str) {
+    let path = format!("{}/tests/scenarios/{name}.txt", env!("CARGO_MANIFEST_DIR"));
+    let mut stage = Stage::default();
+    datadriven::walk(&path, |file| file.run(|case| stage.perform(case.clone())));
+}
+
+macro_rules! scenarios {
+    ($($name:ident)*) => {
+        $(
+            #[test]
+            fn $name() {
+                play(stringify!($name));
+            }
+        )*
+
+        #[test]
+        fn scenarios_all_listed() {
+            let folder = concat!(env!("CARGO_MANIFEST_DIR"), "/tests/scenarios");
+            let files = std::fs::read_dir(folder).expect("a folder").count();
+            assert_eq!(files, [$(stringify!($name)),*].len());
+        }
+    };
+}
+
+scenarios! {
+    rate_across_vms
+    rate_paused_holder
+    rate_cut_and_restarted
+    rate_platform_outage
+}
