Bound the end of a stream after its key's withdrawal

The scenario passed with the key check of a running stream removed, since the route's timeout ended the stream as well. It now asks for the end within 3 s of the withdrawal, and fails without src/filter/send.rs Dispatch::check.

--- a/programs/tests/common/stage.rs
+++ b/programs/tests/common/stage.rs
@@ -246,6 +246,12 @@
         if let Some(name) = case.try_take_arg::<String>("answer")? {
             let call = self.calls.remove(&name).expect("a call of that name");
             let sent = call.sent.await.map_err(|error| error.to_string()).and_then(|sent| sent);
+            if let Some(within) = case.try_take_arg::<u64>("after-withdrawal-ms")? {
+                let took = self.withdrawn.expect("a key was withdrawn").elapsed().as_millis();
+                if took > u128::from(within) {
+                    return Ok(format!("only after {took} ms"));
+                }
+            }
             return Ok(self.outcome(&call.wanted, &sent));
         }
         if let Some(name) = case.try_take_arg::<String>("begun")? {
