--- a/programs/tests/common/stage.rs
+++ b/programs/tests/common/stage.rs
@@ -173,7 +173,8 @@
         Ok((request, Wanted::Completion { prompt, tokens, stream }))
     }
 
-    /// Runs the calls of the input at once; gives their outcomes, sorted.
+    /// Runs the calls of the input at once; gives their outcomes, sorted, or
+    /// just their number.
     async fn race(&mut self, case: &mut TestCase) -> Word {
         let mut running = Vec::new();
         for line in case.input.clone().lines() {
@@ -197,6 +198,9 @@
             running.push(request.send());
         }
         let sent = futures_util::future::join_all(running).await;
+        if case.take_flag("any-outcome")? {
+            return Ok(format!("{} ended", sent.len()));
+        }
         let mut outcomes: Vec<_> =
             sent.iter().map(|sent| self.outcome(&Wanted::Receipt, sent)).collect();
         outcomes.sort();
@@ -281,6 +285,12 @@
             let alive = engines.iter_mut().map(|engine| engine.process.alive());
             return Ok(alive.filter(|alive| !alive).count().to_string());
         }
+        if let Some(span) = case.try_take_arg::<u64>("no-new-runs-for-ms")? {
+            return Ok(self.no_new_runs(Duration::from_millis(span)).await);
+        }
+        if case.take_flag("engines-idle")? {
+            return Ok(self.engines_idle().await);
+        }
         if case.take_flag("key-unseen")? {
             return Ok(self.key_unseen().await);
         }
@@ -328,6 +338,36 @@
         if took.as_millis() as u64 <= within { "yes".into() } else { format!("after {took:?}") }
     }
 
+    /// Completions that engines were asked for.
+    async fn asked(&mut self) -> u64 {
+        let mut asked = 0;
+        for engine in &self.fleet().engines {
+            let calls = engine.get("/standin/counters").await;
+            asked += calls["/v1/completions"].as_u64().unwrap_or_default();
+        }
+        asked
+    }
+
+    async fn no_new_runs(&mut self, span: Duration) -> String {
+        let before = self.asked().await;
+        actix_rt::time::sleep(span).await;
+        match self.asked().await - before {
+            0 => "yes".into(),
+            more => format!("{more} more"),
+        }
+    }
+
+    async fn engines_idle(&mut self) -> String {
+        for engine in &self.fleet().engines {
+            eventually("the engine is idle", async || {
+                let load = engine.get("/v1/load").await;
+                (load["running"] == 0 && load["waiting"] == 0).then_some(())
+            })
+            .await;
+        }
+        "yes".into()
+    }
+
     async fn key_unseen(&mut self) -> String {
         let fleet = self.fleet();
         for standin in fleet.engines.iter().chain(&fleet.plain) {
--- a/programs/tests/path.rs
+++ b/programs/tests/path.rs
@@ -1,19 +1,23 @@
-//! The whole path in separate processes: an online answer, whole and streamed.
+//! The whole path in separate processes: an online answer and a batch job.
 
 mod common;
 
 use common::client::{Request, completion};
 use common::fleet::{Fleet, KEY, Plan};
-use common::run;
+use common::{eventually, run};
 use standins::engine::token;
 
+/// Items of the batch job.
+const ITEMS: u32 = 20;
+
 #[test]
-fn path_online() {
+fn path_online_and_batch() {
     run(async {
         let fleet = Fleet::start(Plan::default()).await;
         fleet.furnish().await;
         fleet.serving().await;
         online(&fleet).await;
+        batch(&fleet).await;
     });
 }
 
@@ -34,3 +38,37 @@
         assert_eq!(engine.get(&format!("/standin/seen?key={KEY}")).await["found"], false);
     }
 }
+
+async fn batch(fleet: &Fleet) {
+    let lines: Vec<String> = (0..ITEMS).map(item).collect();
+    let post = Request::new(
+        "POST",
+        fleet.entries[0].caller,
+        "/v1/batches?name=certificates&path=/v1/completions",
+    );
+    let post = post.key(KEY).body(lines.join("\n"));
+    let (accepted, _) = eventually("the job is accepted", async || {
+        post.clone().send().await.ok().filter(|answer| answer.status < 300)
+    })
+    .await;
+    assert_eq!(accepted.json()["name"], "certificates", "{}", accepted.text());
+    let (results, _) = eventually("all items are done", async || {
+        let path = "/v1/batches/certificates/results";
+        let get = Request::new("GET", fleet.entries[1].caller, path).key(KEY);
+        let text = get.send().await.ok().filter(|answer| answer.status == 200)?.text();
+        (text.lines().count() >= ITEMS as usize).then_some(text)
+    })
+    .await;
+    for number in 0..ITEMS {
+        let expected = token::answer(&format!("certificate {number}"), 4);
+        let found = results.lines().filter(|line| {
+            line.contains(&format!("\"item-{number}\"")) && line.contains(&expected)
+        });
+        assert_eq!(found.count(), 1, "item {number} in\n{results}");
+    }
+}
+
+fn item(number: u32) -> String {
+    let body = completion(&format!("certificate {number}"), 4, false);
+    serde_json::json!({"custom_id": format!("item-{number}"), "body": body}).to_string()
+}
--- a/programs/tests/scenarios.rs
+++ b/programs/tests/scenarios.rs
@@ -42,4 +42,10 @@
     frozen_past_lease
     engine_killed_stream
     operators_race
+    plain_once
+    store_killed_after_acknowledgement
+    entry_killed_batch
+    platform_outage
+    job_resent
+    cancelled_job
 }
