--- a/programs/tests/scenarios.rs
+++ b/programs/tests/scenarios.rs
@@ -43,6 +43,7 @@
     engine_killed_stream
     operators_race
     plain_once
+    planned_stop
     store_killed_after_acknowledgement
     entry_killed_batch
     platform_outage
