Name the options where the verbs take them

Cause: README, demo and operating page showed options before the verb; the verbs take them. Ruled out: global options before the verb; gumdrop can't share them, and people add options at the end.

--- a/programs/src/command/demo/mod.rs
+++ b/programs/src/command/demo/mod.rs
@@ -57,7 +57,7 @@
     );
     println!("see the resources:");
     println!(
-        "  parsleybeam --server {} --credential {} get routes",
+        "  parsleybeam get routes --server {} --credential {}",
         fleet.operator(),
         fleet::CREDENTIAL
     );
