Answer /v1/entries on the operators' listener too

Cause: 'parsleybeam entries' failed with 404 at the address that every other verb uses. Ruled out: a second address option for one verb.

--- a/programs/src/command/entries.rs
+++ b/programs/src/command/entries.rs
@@ -7,8 +7,8 @@
 use super::remote::arguments;
 
 arguments! {
-    /// Asks, as a caller does, which entry VMs to use; `--server` is the
-    /// callers' address of an entry VM, `--credential` a caller's key.
+    /// Asks, as a caller does, which entry VMs to use. With a caller's key as
+    /// `--credential`, the answer is the one for the key's organisation.
     {
         #[options(help = "where the caller stands", meta = "NAME")]
         data_centre: Option<String>,
--- a/src/node/entry.rs
+++ b/src/node/entry.rs
@@ -16,6 +16,7 @@
 use super::callers::Traffic;
 use super::{Listener, pages};
 use crate::admission::{self, Admission};
+use crate::api::entries;
 use crate::api::operator::{Credentials, configure};
 use crate::batch;
 use crate::clock::Monotonic;
@@ -65,7 +66,7 @@
     let closing = drain::Closing::default();
     let traffic = traffic(&context, router, admission.clone(), closing.clone());
     start_control(&control, traffic.clone(), admission, settings.clone(), peer.socket, commands);
-    let resources = resources(&settings, &handle);
+    let resources = resources(&context, &settings, &handle);
     let servers = vec![
         traffic.serve(&settings, caller.socket)?,
         pages::serve(&context, operator.socket, resources)?,
@@ -143,15 +144,22 @@
     });
 }
 
-/// The resource API, for the operators' listener.
+/// The resource API and what callers are told, for the operators' listener.
 fn resources(
+    context: &Context,
     settings: &settings::Entry,
     handle: &control::Handle,
 ) -> impl Fn(&mut web::ServiceConfig) + Send + Clone + use<> {
+    let context = web::Data::new(context.clone());
     let handle = web::Data::new(handle.clone());
     let credentials = web::Data::new(Credentials::new(&settings.operators));
     move |config| {
-        config.app_data(handle.clone()).app_data(credentials.clone()).configure(configure);
+        config
+            .app_data(context.clone())
+            .app_data(handle.clone())
+            .app_data(credentials.clone())
+            .configure(entries::configure)
+            .configure(configure);
     }
 }
 
