Make a VM's surroundings in one place

Cause: entry and store assembled the same Context field by field. Ruled out: a Default (no field has one that is right). After: Context::new.

--- a/src/context.rs
+++ b/src/context.rs
@@ -2,9 +2,9 @@
 
 use std::sync::Arc;
 
-use slog::Logger;
+use slog::{Logger, o};
 
-use crate::clock::Clock;
+use crate::clock::{Clock, Monotonic};
 use crate::id::{DataCentre, Vm};
 use crate::view::Shared;
 use crate::wire::Pool;
@@ -25,3 +25,17 @@
     /// Connections to peers.
     pub peers: Pool,
 }
+
+impl Context {
+    /// The surroundings of a VM that has just started.
+    pub fn new(vm: &Vm, data_centre: &DataCentre, fleet_secret: &str, log: &Logger) -> Self {
+        Self {
+            vm: vm.clone(),
+            data_centre: data_centre.clone(),
+            clock: Arc::new(Monotonic::new()),
+            log: log.new(o!("vm" => vm.to_string())),
+            shared: Shared::default(),
+            peers: Pool::new(vm.clone(), fleet_secret.into()),
+        }
+    }
+}
--- a/src/node/entry.rs
+++ b/src/node/entry.rs
@@ -11,7 +11,7 @@
 use actix_rt::Arbiter;
 use actix_web::dev::ServerHandle;
 use actix_web::web;
-use slog::{Logger, o};
+use slog::Logger;
 
 use super::callers::Traffic;
 use super::{Listener, pages};
@@ -19,7 +19,6 @@
 use crate::api::entries;
 use crate::api::operator::{Credentials, configure};
 use crate::batch;
-use crate::clock::Monotonic;
 use crate::context::Context;
 use crate::control;
 use crate::drain;
@@ -29,8 +28,7 @@
 use crate::route::Router;
 use crate::settings;
 use crate::upstream;
-use crate::view::Shared;
-use crate::wire::{Areas, Handler, Pool};
+use crate::wire::{Areas, Handler};
 
 /// A running entry VM.
 pub struct Node {
@@ -56,7 +54,7 @@
     settings.caller = caller.address;
     settings.operator = operator.address;
     settings.peer = peer.address;
-    let context = context(&settings, &log);
+    let context = Context::new(&settings.vm, &settings.data_centre, &settings.fleet_secret, &log);
     crate::trace::install(&context.log);
 
     let control = Arbiter::new();
@@ -105,17 +103,6 @@
     }
 }
 
-fn context(settings: &settings::Entry, log: &Logger) -> Context {
-    Context {
-        vm: settings.vm.clone(),
-        data_centre: settings.data_centre.clone(),
-        clock: Arc::new(Monotonic::new()),
-        log: log.new(o!("vm" => settings.vm.to_string())),
-        shared: Shared::default(),
-        peers: Pool::new(settings.vm.clone(), settings.fleet_secret.clone()),
-    }
-}
-
 fn start_control(
     control: &Arbiter,
     traffic: Traffic,
--- a/src/node/store.rs
+++ b/src/node/store.rs
@@ -6,11 +6,10 @@
 
 use actix_rt::Arbiter;
 use actix_web::dev::ServerHandle;
-use slog::{Logger, o};
+use slog::Logger;
 use tokio::sync::oneshot;
 
 use super::{Listener, pages};
-use crate::clock::Monotonic;
 use crate::context::Context;
 use crate::control;
 use crate::emit;
@@ -18,8 +17,7 @@
 use crate::event::Event;
 use crate::settings;
 use crate::store::Store as Segments;
-use crate::view::Shared;
-use crate::wire::{Areas, Handler, Pool};
+use crate::wire::{Areas, Handler};
 
 /// A running store VM.
 pub struct Node {
@@ -45,14 +43,7 @@
     let peer = Listener::bind("peer", settings.peer)?;
     settings.operator = operator.address;
     settings.peer = peer.address;
-    let context = Context {
-        vm: settings.vm.clone(),
-        data_centre: settings.data_centre.clone(),
-        clock: Arc::new(Monotonic::new()),
-        log: log.new(o!("vm" => settings.vm.to_string())),
-        shared: Shared::default(),
-        peers: Pool::new(settings.vm.clone(), settings.fleet_secret.clone()),
-    };
+    let context = Context::new(&settings.vm, &settings.data_centre, &settings.fleet_secret, &log);
     let control = Arbiter::new();
     let segments = start_control(&control, context.clone(), settings, peer.socket).await?;
     let pages = pages::serve(&context, operator.socket, |_| {})?;
