--- a/src/route/mod.rs
+++ b/src/route/mod.rs
@@ -4,6 +4,11 @@
 //! `Course`, `Budget`, `Poison`, `Health`, `Affinity` and `Balance` decide and
 //! assert their invariants; `Quarantine` and `poll` bring them the fleet's
 //! messages. `simulate` drives the same decisions at random.
+//!
+//! Whoever else sends requests of callers (batch) keeps to the same rules by
+//! three calls: `Quarantine::begin` before a run, whose `Guard` is told the
+//! address it goes to (`sent`) and how it ended (`whole`, `died`, or dropped);
+//! `Course::send` before each send; and `Course::failed` after each failure.
 
 mod affinity;
 mod balance;
