--- /dev/null
+++ b/programs/src/command/jobs/mod.rs
@@ -0,0 +1,201 @@
+//! `parsleybeam jobs`: submits, follows, reads and cancels batch jobs.
+
+mod client;
+mod display;
+
+use std::io::{Read, Write};
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::time::Duration;
+
+use awc::http::Method;
+use gumdrop::Options;
+use parsleybeam::batch::{Phase, Progress};
+
+use super::Failure;
+use client::Client;
+use display::Display;
+
+/// Pause between two looks at a job's progress.
+const POLL: Duration = Duration::from_millis(500);
+
+/// Works with batch jobs as a caller.
+#[derive(Debug, Options)]
+pub struct Arguments {
+    /// Prints how to use the command.
+    #[options(help = "print this help")]
+    help: bool,
+    /// Caller address of an entry VM.
+    #[options(help = "caller address of an entry VM, as IP:PORT", required)]
+    entry: Option<SocketAddr>,
+    /// Caller's key.
+    #[options(help = "caller's key; else taken from PARSLEYBEAM_KEY")]
+    key: Option<String>,
+    /// What to do.
+    #[options(command)]
+    verb: Option<Verb>,
+}
+
+#[derive(Debug, Options)]
+enum Verb {
+    /// `jobs submit`
+    #[options(help = "submit a file of JSON lines as a job")]
+    Submit(Submit),
+    /// `jobs status`
+    #[options(help = "show a job's progress, or all jobs")]
+    Status(Status),
+    /// `jobs results`
+    #[options(help = "print a job's results as JSON lines")]
+    Results(Results),
+    /// `jobs cancel`
+    #[options(help = "cancel a job")]
+    Cancel(Cancel),
+}
+
+#[derive(Debug, Options)]
+struct Submit {
+    #[options(help = "print this help")]
+    help: bool,
+    #[options(help = "name of the job; the same name meets the same job", required)]
+    name: String,
+    #[options(help = "path that the items are sent to", required)]
+    path: String,
+    #[options(help = "wait until the job has ended")]
+    wait: bool,
+    #[options(free, help = "file of JSON lines; - reads standard input")]
+    file: Option<PathBuf>,
+}
+
+#[derive(Debug, Options)]
+struct Status {
+    #[options(help = "print this help")]
+    help: bool,
+    #[options(help = "wait until the job has ended")]
+    wait: bool,
+    #[options(free, help = "name of the job")]
+    name: Option<String>,
+}
+
+#[derive(Debug, Options)]
+struct Results {
+    #[options(help = "print this help")]
+    help: bool,
+    #[options(help = "results to skip, to go on with a broken download")]
+    after: u32,
+    #[options(free, help = "name of the job")]
+    name: Option<String>,
+}
+
+#[derive(Debug, Options)]
+struct Cancel {
+    #[options(help = "print this help")]
+    help: bool,
+    #[options(free, help = "name of the job")]
+    name: Option<String>,
+}
+
+/// Does what the command line asks for.
+pub async fn run(arguments: Arguments) -> Result<(), Failure> {
+    let entry = arguments.entry.ok_or_else(|| Failure::Input("--entry is needed".into()))?;
+    let key = arguments.key.or_else(|| std::env::var("PARSLEYBEAM_KEY").ok());
+    let key = key.ok_or_else(|| Failure::Input("give --key or set PARSLEYBEAM_KEY".into()))?;
+    let client = Client::new(entry, &key);
+    match arguments.verb {
+        Some(Verb::Submit(submit)) => submit.run(&client).await,
+        Some(Verb::Status(status)) => status.run(&client).await,
+        Some(Verb::Results(results)) => results.run(&client).await,
+        Some(Verb::Cancel(cancel)) => cancel.run(&client).await,
+        None => Err(Failure::Input("name a verb; see parsleybeam jobs --help".into())),
+    }
+}
+
+impl Submit {
+    async fn run(self, client: &Client) -> Result<(), Failure> {
+        let file = self.file.ok_or_else(|| Failure::Input("name a file of JSON lines".into()))?;
+        let body = read(&file)?;
+        let path = format!("/v1/batches?name={}&path={}", self.name, self.path);
+        let answer = client.call(Method::POST, &path, body).await?;
+        let known = if answer.status == 200 { " (it was there already)" } else { "" };
+        println!("job {} accepted{known}", self.name);
+        if self.wait {
+            follow(client, &self.name).await?;
+        }
+        Ok(())
+    }
+}
+
+impl Status {
+    async fn run(self, client: &Client) -> Result<(), Failure> {
+        let Some(name) = self.name else {
+            let answer = client.get("/v1/batches").await?;
+            let jobs: Vec<Progress> = answer.field("batches")?;
+            jobs.iter().for_each(|job| println!("{}", display::line(job)));
+            return Ok(());
+        };
+        if self.wait {
+            return follow(client, &name).await;
+        }
+        println!("{}", display::line(&progress(client, &name).await?));
+        Ok(())
+    }
+}
+
+impl Results {
+    async fn run(self, client: &Client) -> Result<(), Failure> {
+        let name = named(self.name)?;
+        let mut after = self.after;
+        loop {
+            let page = client.get(&format!("/v1/batches/{name}/results?after={after}")).await?;
+            let mut output = std::io::stdout().lock();
+            output.write_all(&page.body).map_err(|error| Failure::Input(error.to_string()))?;
+            let next = page.next.unwrap_or(after);
+            if next == after {
+                return Ok(());
+            }
+            after = next;
+        }
+    }
+}
+
+impl Cancel {
+    async fn run(self, client: &Client) -> Result<(), Failure> {
+        let name = named(self.name)?;
+        let path = format!("/v1/batches/{name}/cancel");
+        client.call(Method::POST, &path, Vec::new()).await?;
+        println!("job {name} cancelled: no item starts any more");
+        Ok(())
+    }
+}
+
+async fn progress(client: &Client, name: &str) -> Result<Progress, Failure> {
+    client.get(&format!("/v1/batches/{name}")).await?.json()
+}
+
+/// Shows a job's progress until it has ended.
+async fn follow(client: &Client, name: &str) -> Result<(), Failure> {
+    let mut display = Display::new();
+    loop {
+        let job = progress(client, name).await?;
+        display.show(&job);
+        if job.phase != Phase::Running {
+            display.end(&job);
+            return Ok(());
+        }
+        tokio::time::sleep(POLL).await;
+    }
+}
+
+fn named(name: Option<String>) -> Result<String, Failure> {
+    name.ok_or_else(|| Failure::Input("name a job".into()))
+}
+
+fn read(file: &PathBuf) -> Result<Vec<u8>, Failure> {
+    let mut body = Vec::new();
+    let read = if file.as_os_str() == "-" {
+        std::io::stdin().read_to_end(&mut body).map(drop)
+    } else {
+        std::fs::read(file).map(|bytes| body = bytes)
+    };
+    read.map_err(|error| Failure::Input(format!("{}: {error}", file.display())))?;
+    Ok(body)
+}
--- a/programs/src/command/mod.rs
+++ b/programs/src/command/mod.rs
@@ -12,6 +12,7 @@
 mod remote;
 mod status;
 mod watch;
+mod jobs;
 
 pub use failure::Failure;
 
@@ -62,6 +63,9 @@
     /// `demo`
     #[options(help = "start a whole fleet in this process, on loopback")]
     Demo(demo::Arguments),
+    /// `jobs`
+    #[options(help = "submit, follow, read and cancel batch jobs")]
+    Jobs(jobs::Arguments),
 }
 
 /// Does what the command line asks for.
@@ -80,6 +84,7 @@
         Some(Command::Entries(arguments)) => entries::run(&arguments).await,
         Some(Command::Check(arguments)) => check::run(&arguments),
         Some(Command::Demo(arguments)) => demo::run(&arguments).await,
+        Some(Command::Jobs(arguments)) => jobs::run(arguments).await,
         None => Err(Failure::Input("name a command; see parsleybeam --help".into())),
     }
 }
--- a/src/batch/claims.rs
+++ b/src/batch/claims.rs
@@ -1,6 +1,6 @@
 //! Claims on requests that run at most once.
 
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap};
 
 use super::outcome::Outcome;
 use super::record;
@@ -18,6 +18,8 @@
 #[derive(Clone, Debug, Default)]
 pub(super) struct Claims {
     held: HashMap<(String, String), Held>,
+    /// The same by the record that made each, the oldest first.
+    order: BTreeMap<u64, (String, String)>,
 }
 
 impl Claims {
@@ -36,6 +38,7 @@
                 finished: None,
             };
             self.held.insert(place(claim), held);
+            self.order.insert(seq, place(claim));
             return (Outcome::Granted, Vec::new());
         };
         if held.fingerprint != claim.fingerprint {
@@ -68,26 +71,24 @@
         }
         let record = held.claimed;
         self.held.remove(&place(claim));
+        self.order.remove(&record);
         (Outcome::Done, vec![record])
     }
 
     /// Drops claims made before `before_ms`; gives the records that held them.
     pub(super) fn sweep(&mut self, before_ms: u64) -> Vec<u64> {
         let mut dead = Vec::new();
-        self.held.retain(|_, held| {
-            if held.made_ms >= before_ms {
-                return true;
-            }
-            dead.push(held.claimed);
-            dead.extend(held.finished);
-            false
-        });
-        dead.sort_unstable();
+        while self.oldest_ms().is_some_and(|made| made < before_ms) {
+            let Some((record, place)) = self.order.pop_first() else { break };
+            dead.push(record);
+            dead.extend(self.held.remove(&place).and_then(|held| held.finished));
+        }
         dead
     }
 
     pub(super) fn oldest_ms(&self) -> Option<u64> {
-        self.held.values().map(|held| held.made_ms).min()
+        let (_, place) = self.order.first_key_value()?;
+        self.held.get(place).map(|held| held.made_ms)
     }
 }
 
--- a/src/batch/dispatch.rs
+++ b/src/batch/dispatch.rs
@@ -1,10 +1,10 @@
 //! How much batch work one upstream may run beside online requests.
 //!
 //! Engines know no priorities, so room is kept for online requests by
-//! bounding batch work: it may use what online requests leave, less a small
-//! reserve. While any online request waits for the upstream nothing starts
-//! and what runs gives way; afterwards the bound doubles every tenth of a
-//! second, so that a burst that comes back soon finds room.
+//! bounding batch work: it starts only in what online requests leave. While
+//! any online request waits for the upstream nothing starts and what runs
+//! gives way; afterwards the bound doubles every tenth of a second, so that a
+//! burst that comes back soon finds room.
 
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -12,9 +12,10 @@
 use crate::clock::Time;
 use crate::id::Vm;
 
-/// Share of an upstream's capacity kept for the next online requests: one in
-/// this many slots.
-const RESERVE_DIVISOR: u32 = 16;
+/// Share of an upstream's capacity by which batch and online requests may be
+/// over it together before batch work is interrupted: one in this many slots.
+/// Interrupting for each online request would waste more than it spares.
+const SLACK_DIVISOR: u32 = 16;
 /// Time after which another VM's report no longer counts.
 const REPORT_LIFETIME: Duration = Duration::from_millis(1_000);
 /// Time in which the bound doubles after online requests waited.
@@ -31,6 +32,16 @@
     pub waiting: u32,
 }
 
+/// How many batch requests may run at an upstream. The gap between the two
+/// lets a few more online requests in without interrupting anything.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Limits {
+    /// More are started below this.
+    pub start: u32,
+    /// Those above this give way.
+    pub keep: u32,
+}
+
 /// What one upstream's dispatcher knows and decides.
 #[derive(Clone, Debug)]
 pub struct Dispatch {
@@ -79,22 +90,22 @@
         self.reports.insert(vm, (online, now.after(REPORT_LIFETIME)));
     }
 
-    /// Most batch requests that may run now.
-    pub fn limit(&mut self, now: Time) -> u32 {
+    /// How many batch requests may run now.
+    pub fn limits(&mut self, now: Time) -> Limits {
         if !self.yields {
-            return self.capacity;
+            return Limits { start: self.capacity, keep: self.capacity };
         }
         self.reports.retain(|_, (_, until)| !until.passed(now));
         if !self.quiet_until.passed(now) {
-            return 0;
+            return Limits { start: 0, keep: 0 };
         }
         while self.ramp < self.capacity && self.ramp_next.passed(now) {
             self.ramp = (self.ramp * 2).min(self.capacity);
             self.ramp_next = self.ramp_next.after(RAMP_PERIOD);
         }
         let online: u32 = self.reports.values().map(|(online, _)| online.running).sum();
-        let reserve = self.capacity.div_ceil(RESERVE_DIVISOR);
-        let left = self.capacity.saturating_sub(online + reserve);
-        left.min(self.ramp)
+        let left = self.capacity.saturating_sub(online);
+        let slack = if left == 0 { 0 } else { self.capacity.div_ceil(SLACK_DIVISOR) };
+        Limits { start: left.min(self.ramp), keep: left + slack }
     }
 }
--- a/src/batch/job.rs
+++ b/src/batch/job.rs
@@ -109,6 +109,8 @@
     grants: u32,
     failures: u8,
     losses: u8,
+    /// Attempt that the latest loss was told of; it counts once.
+    lost_attempt: u32,
     complete: bool,
 }
 
@@ -339,6 +341,16 @@
             self.complete(answer(verdict), now_ms);
             return;
         }
+        if ending == Ending::UpstreamLost && self.seal.idempotent {
+            // Counts also when the lease had expired meanwhile.
+            let state = &mut self.items[item as usize];
+            state.losses += u8::from(state.lost_attempt != ended.attempt.attempt);
+            state.lost_attempt = ended.attempt.attempt;
+            if state.losses >= MAX_LOSSES {
+                let (verdict, reason) = (Verdict::Failed, Reason::Poison);
+                return self.complete(Slot { item, verdict, reason, record, index }, now_ms);
+            }
+        }
         if !self.is_current(&ended.attempt) {
             return;
         }
@@ -354,10 +366,7 @@
                 let verdict = Verdict::Unknown;
                 self.complete(Slot { item, verdict, reason, record, index }, now_ms);
             }
-            ending => {
-                let loss = u8::from(ending == Ending::UpstreamLost);
-                self.retry(item, loss, record, now_ms);
-            }
+            _ => self.retry(item, record, now_ms),
         }
     }
 
@@ -368,7 +377,7 @@
         }
         self.leased.remove(&attempt.item);
         if self.seal.idempotent {
-            self.retry(attempt.item, 0, record, now_ms);
+            self.retry(attempt.item, record, now_ms);
             return;
         }
         let reason = Reason::WorkerLost;
@@ -376,12 +385,11 @@
         self.complete(slot, now_ms);
     }
 
-    fn retry(&mut self, item: u32, losses: u8, record: u64, now_ms: u64) {
+    fn retry(&mut self, item: u32, record: u64, now_ms: u64) {
         let state = &mut self.items[item as usize];
         state.failures += 1;
-        state.losses += losses;
-        let reason = if state.losses >= MAX_LOSSES { Reason::Poison } else { Reason::Exhausted };
-        if state.losses >= MAX_LOSSES || state.failures >= MAX_FAILURES {
+        if state.failures >= MAX_FAILURES {
+            let reason = Reason::Exhausted;
             let slot = Slot { item, verdict: Verdict::Failed, reason, record, index: 0 };
             self.complete(slot, now_ms);
             return;
--- a/src/batch/lease.rs
+++ b/src/batch/lease.rs
@@ -1,4 +1,4 @@
-//! What only the primary knows: until when each lease holds.
+//! What only the primary knows: who holds each lease, and until when.
 
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -12,47 +12,83 @@
 /// Time from asking for a lease within which its items may be started.
 pub const START_WINDOW: Duration = Duration::from_millis(1_000);
 
-/// Deadlines of the leases that a primary gave or took over.
+#[derive(Clone, Debug)]
+struct Held {
+    until: Time,
+    /// Worker and number of its ask, if this primary gave the lease.
+    ask: Option<(String, u64)>,
+}
+
+/// Leases that a primary gave or took over.
 #[derive(Clone, Debug)]
 pub struct Leases {
-    until: BTreeMap<Attempt, Time>,
+    held: BTreeMap<Attempt, Held>,
     /// Latest time at which an item of each job may be started.
     started_by: BTreeMap<u64, Time>,
     /// The same for leases that an earlier primary gave.
     took_over: Time,
 }
 
+/// What a worker says about its leases.
+#[derive(Clone, Copy, Debug)]
+pub struct Renewal<'a> {
+    /// The worker, by a name that no restart repeats.
+    pub worker: &'a str,
+    /// Of asks up to this number it will start nothing any more.
+    pub closed: u64,
+    /// Attempts that it runs, or whose end isn't committed yet.
+    pub running: &'a [Attempt],
+}
+
+/// What follows from a renewal.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Renewed {
+    /// Attempts that the worker should stop.
+    pub stop: Vec<Attempt>,
+    /// Attempts that the worker never heard of and won't start.
+    pub unsent: Vec<Attempt>,
+}
+
 impl Leases {
     /// A new primary gives every running attempt a full lease.
     pub fn new(state: &State, now: Time) -> Self {
-        let until = state.running().map(|attempt| (attempt, now.after(LEASE))).collect();
-        Self { until, started_by: BTreeMap::new(), took_over: now.after(START_WINDOW) }
+        let held = || Held { until: now.after(LEASE), ask: None };
+        let held = state.running().map(|attempt| (attempt, held())).collect();
+        Self { held, started_by: BTreeMap::new(), took_over: now.after(START_WINDOW) }
     }
 
     /// A lease for this attempt was given.
-    pub fn granted(&mut self, attempt: Attempt, now: Time) {
-        self.until.insert(attempt, now.after(LEASE));
+    pub fn granted(&mut self, attempt: Attempt, ask: Option<(String, u64)>, now: Time) {
+        self.held.insert(attempt, Held { until: now.after(LEASE), ask });
         self.started_by.insert(attempt.job, now.after(START_WINDOW));
     }
 
-    /// A worker says what it still runs; gives the attempts it should stop.
-    pub fn renew(&mut self, state: &State, running: &[Attempt], now: Time) -> Vec<Attempt> {
-        let mut stop = Vec::new();
-        for attempt in running {
+    /// Renews a worker's leases and compares them with those given to it.
+    pub fn renew(&mut self, state: &State, renewal: &Renewal<'_>, now: Time) -> Renewed {
+        let mut renewed = Renewed::default();
+        for attempt in renewal.running {
             if !state.is_current(attempt) {
-                stop.push(*attempt);
+                renewed.stop.push(*attempt);
                 continue;
             }
-            self.until.insert(*attempt, now.after(LEASE));
+            let until = now.after(LEASE);
+            self.held.entry(*attempt).or_insert(Held { until, ask: None }).until = until;
         }
-        stop
+        let lost = self.held.iter().filter(|(attempt, held)| {
+            let ask = held.ask.as_ref();
+            let closed =
+                ask.is_some_and(|(worker, ask)| worker == renewal.worker && *ask <= renewal.closed);
+            closed && state.is_current(attempt) && !renewal.running.contains(attempt)
+        });
+        renewed.unsent = lost.map(|(attempt, _)| *attempt).collect();
+        renewed
     }
 
     /// Attempts whose worker is silent.
     pub fn expired(&mut self, state: &State, now: Time) -> Vec<Attempt> {
-        self.until.retain(|attempt, _| state.is_current(attempt));
+        self.held.retain(|attempt, _| state.is_current(attempt));
         self.started_by.retain(|_, until| !until.passed(now));
-        let silent = self.until.iter().filter(|(_, until)| until.passed(now));
+        let silent = self.held.iter().filter(|(_, held)| held.until.passed(now));
         silent.map(|(attempt, _)| *attempt).collect()
     }
 
--- a/src/batch/state.rs
+++ b/src/batch/state.rs
@@ -1,6 +1,6 @@
 //! What follows from a segment's committed records.
 
-use std::collections::{BTreeMap, HashMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
 
 use super::claims::Claims;
 use super::job::{Chunk, Job, JobId, Phase, Progress};
@@ -26,6 +26,10 @@
     uploads: BTreeMap<String, Upload>,
     jobs: BTreeMap<JobId, Job>,
     names: BTreeMap<Name, JobId>,
+    /// Running jobs by target, the one due first first.
+    open: BTreeMap<String, BTreeSet<(u64, JobId)>>,
+    /// Ended jobs by when they ended.
+    ended: BTreeSet<(u64, JobId)>,
     claims: Claims,
     /// Jobs that each shared record concerns.
     shared: HashMap<u64, u32>,
@@ -85,29 +89,20 @@
         self.jobs.get(&JobId(attempt.job)).is_some_and(|job| job.is_current(attempt))
     }
 
-    /// Whether a lease for `target` would get anything.
-    pub fn has_ready(&self, target: &str, now_ms: u64) -> bool {
-        self.jobs.values().any(|job| job.seal.target == target && job.has_ready(now_ms))
-    }
-
     /// What should be ended now, if anything.
     pub fn due(&self, now_ms: u64) -> Option<Sweep> {
-        let overdue = self
-            .jobs
-            .values()
-            .filter(|job| job.phase() == Phase::Running && job.seal.deadline_ms <= now_ms);
+        let overdue = self.open.values().flat_map(|open| {
+            open.iter().take_while(|(deadline, _)| *deadline <= now_ms).map(|(_, id)| id.0)
+        });
         let kept_until = |ended: u64| ended.saturating_add(RETENTION_MS);
-        let old = self
-            .jobs
-            .values()
-            .filter(|job| job.ended_ms.is_some_and(|ended| kept_until(ended) <= now_ms));
+        let old = self.ended.iter().take_while(|(ended, _)| kept_until(*ended) <= now_ms);
         let idle =
             self.uploads.iter().filter(|(_, upload)| upload.touched_ms + UPLOAD_IDLE_MS <= now_ms);
         let before = now_ms.saturating_sub(RETENTION_MS);
         let claims = self.claims.oldest_ms().is_some_and(|oldest| oldest < before);
         let sweep = Sweep {
-            overdue: overdue.map(|job| job.id.0).take(SWEEP_LIMIT).collect(),
-            old: old.map(|job| job.id.0).take(SWEEP_LIMIT).collect(),
+            overdue: overdue.take(SWEEP_LIMIT).collect(),
+            old: old.map(|(_, id)| id.0).take(SWEEP_LIMIT).collect(),
             uploads: idle.map(|(name, _)| name.clone()).take(SWEEP_LIMIT).collect(),
             claims_before_ms: if claims { before } else { 0 },
         };
@@ -118,10 +113,8 @@
     /// least for its weight goes first, and within it the job due first.
     pub fn pick(&self, target: &str, limit: usize, now_ms: u64) -> Vec<Attempt> {
         let mut queues: BTreeMap<&str, Queue<'_>> = BTreeMap::new();
-        let mut jobs: Vec<&Job> =
-            self.jobs.values().filter(|job| job.seal.target == target).collect();
-        jobs.sort_unstable_by_key(|job| (job.seal.deadline_ms, job.id));
-        for job in jobs {
+        let open = self.open.get(target).into_iter().flatten();
+        for job in open.map(|(_, id)| &self.jobs[id]) {
             let queue = queues.entry(job.seal.name.organisation.as_str()).or_default();
             queue.running += u64::from(job.running_count());
             queue.weight = u64::from(job.seal.weight.max(1));
@@ -176,6 +169,9 @@
         let id = JobId(seq);
         self.jobs.insert(id, Job::new(id, seal.clone(), chunks, now_ms));
         self.names.insert(seal.name.clone(), id);
+        let due = (seal.deadline_ms, id);
+        self.open.entry(seal.target.clone()).or_default().insert(due);
+        self.file(id);
         (Outcome::Accepted { created: true, total: seal.total }, Vec::new())
     }
 
@@ -197,6 +193,7 @@
             if let Some(job) = self.jobs.get_mut(&id) {
                 job.settle(seq, index as u32, ended, now_ms);
                 self.touch(id, seq);
+                self.file(id);
             }
         }
         (Outcome::Done, self.unless_shared(seq))
@@ -210,6 +207,7 @@
         job.close(seq, Phase::Cancelled, now_ms);
         let total = job.seal.total;
         self.touch(id, seq);
+        self.file(id);
         (Outcome::Accepted { created: false, total }, Vec::new())
     }
 
@@ -219,6 +217,7 @@
             if let Some(job) = self.jobs.get_mut(&id) {
                 job.expire(seq, attempt, now_ms);
                 self.touch(id, seq);
+                self.file(id);
             }
         }
         (Outcome::Done, self.unless_shared(seq))
@@ -230,11 +229,13 @@
             if let Some(job) = self.jobs.get_mut(&JobId(*id)) {
                 job.close(seq, Phase::Expired, now_ms);
                 self.touch(JobId(*id), seq);
+                self.file(JobId(*id));
             }
         }
         for id in &sweep.old {
             let Some(job) = self.jobs.remove(&JobId(*id)) else { continue };
             self.names.remove(job.name());
+            self.ended.retain(|(_, ended)| *ended != job.id);
             let (own, touched) = job.into_records();
             dead.extend(own);
             dead.extend(touched.into_iter().filter(|record| self.untouch(*record)));
@@ -247,12 +248,27 @@
         while self.lingering.front().is_some_and(|(made, _)| ended(*made)) {
             dead.extend(self.lingering.pop_front().map(|(_, record)| record));
         }
-        if sweep.overdue.is_empty() {
+        if !self.shared.contains_key(&seq) {
             self.lingering.push_back((now_ms, seq));
         }
         dead
     }
 
+    /// Moves a job that has ended from the running ones to the ended ones.
+    fn file(&mut self, id: JobId) {
+        let job = &self.jobs[&id];
+        let Some(ended_ms) = job.ended_ms else { return };
+        if !self.ended.insert((ended_ms, id)) {
+            return;
+        }
+        if let Some(open) = self.open.get_mut(&job.seal.target) {
+            open.remove(&(job.seal.deadline_ms, id));
+            if open.is_empty() {
+                self.open.remove(&job.seal.target);
+            }
+        }
+    }
+
     fn touch(&mut self, id: JobId, record: u64) {
         if self.jobs.get_mut(&id).is_some_and(|job| job.touch(record)) {
             *self.shared.entry(record).or_default() += 1;
--- a/src/batch/worker.rs
+++ b/src/batch/worker.rs
@@ -1,7 +1,7 @@
 //! The batch side of an entry VM: leases items, runs them, settles them.
 
 use std::cell::RefCell;
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -67,6 +67,12 @@
     idle: HashMap<(SegmentId, String), (Time, Duration)>,
     /// Items asked for and not here yet.
     leasing: HashMap<(SegmentId, String), u32>,
+    /// Number of the latest ask, and asks that may still start something.
+    last_ask: u64,
+    open_asks: BTreeSet<u64>,
+    /// The view that `dispatchers` follows from.
+    view: Option<Arc<View>>,
+    dispatchers: HashMap<id::Upstream, id::Vm>,
     reported: BTreeMap<id::Upstream, (Online, Time)>,
 }
 
@@ -128,6 +134,7 @@
     /// Looks at every upstream that this VM dispatches to.
     fn look(self: &Rc<Self>) {
         let view = self.client.context().shared.load();
+        self.inner.borrow_mut().follow(&view);
         self.tell(&view);
         let wanted = self.wanted(&view);
         for (target, room) in wanted {
@@ -142,10 +149,12 @@
         let own = &self.client.context().vm;
         let mut inner = self.inner.borrow_mut();
         let mut wanted: BTreeMap<String, u32> = BTreeMap::new();
-        let mine = |each: &&Upstream| dispatcher(view, &each.name) == Some(own);
-        for upstream in view.upstreams.values().filter(mine) {
+        let mut excess = Vec::new();
+        let Inner { sites, dispatchers, .. } = &mut *inner;
+        let mine = |name: &id::Upstream| dispatchers.get(name) == Some(own);
+        for upstream in view.upstreams.values().filter(|each| mine(&each.name)) {
             let capacity = upstream.spec.capacity;
-            let site = inner.sites.entry(upstream.name.clone()).or_insert_with(|| Site {
+            let site = sites.entry(upstream.name.clone()).or_insert_with(|| Site {
                 dispatch: match self.yields {
                     true => Dispatch::new(capacity),
                     false => Dispatch::without_yielding(capacity),
@@ -154,15 +163,17 @@
                 paused_until: Time(0),
             });
             site.dispatch.resize(capacity);
-            let limit = site.dispatch.limit(now);
+            let limits = site.dispatch.limits(now);
             let (running, paused) = (site.running, !site.paused_until.passed(now));
-            if running > limit {
-                inner.interrupt(&upstream.name, running - limit);
+            if running > limits.keep {
+                excess.push((upstream.name.clone(), running - limits.keep));
             } else if upstream.state == State::Live && !paused {
-                *wanted.entry(target(upstream)).or_default() += limit - running;
+                *wanted.entry(target(upstream)).or_default() +=
+                    limits.start.saturating_sub(running);
             }
         }
-        inner.sites.retain(|name, site| site.running > 0 || dispatcher(view, name) == Some(own));
+        sites.retain(|name, site| site.running > 0 || mine(name));
+        excess.iter().for_each(|(name, count)| inner.interrupt(name, *count));
         wanted.retain(|_, room| *room > 0);
         wanted
     }
@@ -199,7 +210,9 @@
 
     async fn lease_from(self: Rc<Self>, key: (SegmentId, String), limit: u32) {
         let asked = self.now();
+        let number = self.inner.borrow_mut().open_ask();
         let ask = Ask::Lease(wire::batch::Lease {
+            ask: number,
             worker: self.name.clone(),
             target: key.1.clone(),
             limit,
@@ -224,6 +237,7 @@
         for item in items {
             self.begin(key.0, &key.1, item, &view, asked.after(START_WINDOW));
         }
+        self.inner.borrow_mut().open_asks.remove(&number);
     }
 
     /// Starts an item at the upstream with most room, or gives it back.
@@ -264,14 +278,15 @@
     fn choose(&self, wanted: &str, view: &View) -> Option<Upstream> {
         let now = self.now();
         let mut inner = self.inner.borrow_mut();
+        let own = &self.client.context().vm;
         let mut best: Option<(u32, &Upstream)> = None;
         for upstream in view.upstreams.values() {
-            let mine = dispatcher(view, &upstream.name) == Some(&self.client.context().vm);
+            let mine = inner.dispatchers.get(&upstream.name) == Some(own);
             if !mine || upstream.state != State::Live || target(upstream) != wanted {
                 continue;
             }
             let Some(site) = inner.sites.get_mut(&upstream.name) else { continue };
-            let room = site.dispatch.limit(now).saturating_sub(site.running);
+            let room = site.dispatch.limits(now).start.saturating_sub(site.running);
             let usable = room > 0 && site.paused_until.passed(now);
             if usable && best.is_none_or(|(most, _)| room > most) {
                 best = Some((room, upstream));
@@ -316,8 +331,9 @@
 
     /// Renews all leases and stops what the segments no longer want run.
     async fn renew(&self) {
-        let mut held: BTreeMap<SegmentId, Vec<Attempt>> = BTreeMap::new();
-        {
+        let mut held: BTreeMap<SegmentId, Vec<Attempt>> =
+            SegmentId::all().map(|segment| (segment, Vec::new())).collect();
+        let closed = {
             let inner = self.inner.borrow();
             for (segment, attempt) in inner.running.keys() {
                 held.entry(*segment).or_default().push(*attempt);
@@ -328,10 +344,12 @@
             for (segment, attempts) in &inner.settling {
                 held.entry(*segment).or_default().extend(attempts);
             }
-        }
+            // An attempt is on this list or will never be started.
+            inner.open_asks.first().map_or(inner.last_ask, |open| open - 1)
+        };
         let renewals = held.into_iter().map(|(segment, attempts)| async move {
             let deadline = self.now().after(RENEW);
-            let ask = Ask::Renew(Renew { attempts });
+            let ask = Ask::Renew(Renew { attempts, worker: self.name.clone(), closed });
             (segment, self.client.ask_until(segment, ask, deadline).await)
         });
         for (segment, reply) in futures_util::future::join_all(renewals).await {
@@ -353,8 +371,8 @@
         let mut inner = self.inner.borrow_mut();
         for room in self.line.room() {
             let online = Online { running: room.online_running, waiting: room.online_waiting };
-            let Some(vm) = dispatcher(view, &room.upstream) else { continue };
-            if *vm == context.vm {
+            let Some(vm) = inner.dispatchers.get(&room.upstream).cloned() else { continue };
+            if vm == context.vm {
                 if let Some(site) = inner.sites.get_mut(&room.upstream) {
                     site.dispatch.report(vm.clone(), online, now);
                 }
@@ -369,7 +387,7 @@
                     waiting: online.waiting,
                     running: online.running,
                 };
-                messages.entry(vm.clone()).or_default().push(room);
+                messages.entry(vm).or_default().push(room);
             }
         }
         for (vm, rooms) in messages {
@@ -396,6 +414,24 @@
 }
 
 impl Inner {
+    /// Chooses dispatchers anew when the view has changed.
+    fn follow(&mut self, view: &Arc<View>) {
+        if self.view.as_ref().is_some_and(|known| Arc::ptr_eq(known, view)) {
+            return;
+        }
+        let upstreams = view.upstreams.keys();
+        let chosen =
+            upstreams.filter_map(|name| Some((name.clone(), dispatcher(view, name)?.clone())));
+        self.dispatchers = chosen.collect();
+        self.view = Some(view.clone());
+    }
+
+    fn open_ask(&mut self) -> u64 {
+        self.last_ask += 1;
+        self.open_asks.insert(self.last_ask);
+        self.last_ask
+    }
+
     /// Frees the slot of an attempt that ended or is stopped.
     fn release(&mut self, key: &Key) -> Option<Running> {
         let running = self.running.remove(key)?;
--- a/src/store/engine.rs
+++ b/src/store/engine.rs
@@ -1,15 +1,15 @@
 //! The engine: one thread that owns the disk and all segments of a store.
 
 use std::sync::Arc;
-use std::time::{SystemTime, UNIX_EPOCH};
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use tokio::sync::{mpsc, oneshot};
 
 use super::command::{Command, Output, Responder};
 use super::page::Reader;
 use super::part::{Part, Ready, Waiter};
-use crate::batch::record;
-use crate::batch::record::{Event, Expire, Record};
+use crate::batch::Renewal;
+use crate::batch::record::{self, Attempt, Ending, Event, Expire, Record, Settle, Settlement};
 use crate::clock::{Clock, Time};
 use crate::error::{Error, Kind, Result};
 use crate::segment::{Append, Appended, Disk, Replica, SegmentId, Send, Write};
@@ -19,6 +19,8 @@
 const ROUND: usize = 1_024;
 /// Bytes of entries in one message.
 const SEND_BYTES: usize = 4 << 20;
+/// Pause between looks for void leases and old jobs.
+const SWEEP_PAUSE: Duration = Duration::from_millis(100);
 /// Most results in one page.
 const PAGE_LIMIT: u32 = 1_000;
 /// Most items that one lease gives.
@@ -138,12 +140,10 @@
                 part.lease_asks.push_back((lease, responder));
                 lease_next(part);
             }
-            Ask::Renew(renew) => {
-                let stop = match &mut part.leases {
-                    Some(leases) => leases.renew(&part.state, &renew.attempts, now),
-                    None => Vec::new(),
-                };
-                let _ = responder.send(Ok(Reply::Stop(Renew { attempts: stop })));
+            Ask::Renew(renew_ask) => {
+                let stop = renew(part, &renew_ask, now);
+                let renewed = Renew { attempts: stop, ..Renew::default() };
+                let _ = responder.send(Ok(Reply::Stop(renewed)));
             }
             Ask::Status(_) | Ask::List(_) | Ask::Results(_) => {
                 let reply = self.read(segment, ask);
@@ -208,9 +208,7 @@
             part.check_role(now);
             let segment = part.id;
             for Ready { waiter, outcome } in ready {
-                let (Waiter::Caller(responder) | Waiter::Lease(responder)) = waiter else {
-                    continue;
-                };
+                let Waiter::Caller(responder) = waiter else { continue };
                 let state = &self.parts[place].state;
                 let _ = responder.send(self.reader.reply(&self.disk, segment, state, outcome));
             }
@@ -284,9 +282,10 @@
 fn tick(part: &mut Part, now: Time) {
     let step = part.machine.tick(now);
     part.step.merge(step);
-    if part.own_busy || !part.machine.accepts() {
+    if part.own_busy || !part.machine.accepts() || !part.next_sweep.passed(now) {
         return;
     }
+    part.next_sweep = now.after(SWEEP_PAUSE);
     let Some(leases) = &mut part.leases else { return };
     let attempts = leases.expired(&part.state, now);
     let now_ms = wall_ms();
@@ -301,6 +300,22 @@
     }
 }
 
+/// Renews a worker's leases; gives what it should stop. Leases whose answer
+/// was lost are taken back.
+fn renew(part: &mut Part, renew: &Renew, now: Time) -> Vec<Attempt> {
+    let Some(leases) = &mut part.leases else { return Vec::new() };
+    let Renew { worker, closed, attempts } = renew;
+    let renewal = Renewal { worker, closed: *closed, running: attempts };
+    let renewed = leases.renew(&part.state, &renewal, now);
+    for attempt in renewed.unsent {
+        let ending = Ending::GivenBack.into();
+        let settlement = Settlement { attempt, ending, ..Settlement::default() };
+        let settle = Event::Settle(Settle { settlements: vec![settlement] });
+        part.propose(&Record::new(wall_ms(), settle), Waiter::Nobody);
+    }
+    renewed.stop
+}
+
 /// Decides the next lease once the one before it is applied.
 fn lease_next(part: &mut Part) {
     while !part.lease_busy {
@@ -315,9 +330,10 @@
             let _ = responder.send(Ok(Reply::Leased(Leased::default())));
             continue;
         }
-        let event = Event::Lease(record::Lease { worker: lease.worker, attempts });
+        let event = Event::Lease(record::Lease { worker: lease.worker.clone(), attempts });
         part.lease_busy = true;
-        part.propose(&Record::new(now_ms, event), Waiter::Lease(responder));
+        let waiter = Waiter::Lease(lease.worker, lease.ask, responder);
+        part.propose(&Record::new(now_ms, event), waiter);
     }
 }
 
--- a/src/store/part.rs
+++ b/src/store/part.rs
@@ -20,8 +20,10 @@
 pub(super) enum Waiter {
     /// A caller.
     Caller(Responder),
-    /// A caller that wants items.
-    Lease(Responder),
+    /// A worker that wants items, and the number of its ask.
+    Lease(String, u64, Responder),
+    /// Nobody.
+    Nobody,
     /// The engine itself, about void leases or old jobs.
     Own,
 }
@@ -39,6 +41,8 @@
     pub(super) lease_asks: VecDeque<(crate::wire::batch::Lease, Responder)>,
     pub(super) lease_busy: bool,
     pub(super) own_busy: bool,
+    /// When void leases and old jobs are looked for next.
+    pub(super) next_sweep: Time,
     /// Answers that may go out only later.
     pub(super) held: Vec<(Time, Responder, Reply)>,
     /// Payloads of entries that aren't applied yet.
@@ -70,6 +74,7 @@
             lease_asks: VecDeque::new(),
             lease_busy: false,
             own_busy: false,
+            next_sweep: Time(0),
             held: Vec::new(),
             recent: BTreeMap::new(),
             step: Step::default(),
@@ -180,8 +185,11 @@
             let (outcome, quiet_from) = self.apply(seq, &payload, now)?;
             match self.waiting.remove(&seq) {
                 Some(Waiter::Own) => self.own_busy = false,
-                Some(waiter @ Waiter::Lease(_)) => {
+                Some(Waiter::Nobody) | None => {}
+                Some(Waiter::Lease(worker, ask, responder)) => {
                     self.lease_busy = false;
+                    self.hold(&outcome, &worker, ask, now);
+                    let waiter = Waiter::Caller(responder);
                     ready.push(Ready { waiter, outcome });
                 }
                 Some(Waiter::Caller(responder)) if !quiet_from.passed(now) => {
@@ -189,7 +197,6 @@
                     self.held.push((quiet_from, responder, Reply::Done(())));
                 }
                 Some(waiter) => ready.push(Ready { waiter, outcome }),
-                None => {}
             }
         }
         Ok(ready)
@@ -204,7 +211,7 @@
         let (outcome, dead) = self.state.apply(seq, &record);
         self.dead.extend(dead);
         if let (Outcome::Leased(grants), Some(leases)) = (&outcome, &mut self.leases) {
-            grants.iter().for_each(|grant| leases.granted(grant.attempt, now));
+            grants.iter().for_each(|grant| leases.granted(grant.attempt, None, now));
         }
         let Some(Event::Cancel(name)) = &record.event else { return Ok((outcome, now)) };
         let Some(job) = self.state.job(name).map(Job::id) else { return Ok((outcome, now)) };
@@ -213,10 +220,20 @@
     }
 }
 
+impl Part {
+    /// Notes to which worker the granted attempts went.
+    fn hold(&mut self, outcome: &Outcome, worker: &str, ask: u64, now: Time) {
+        let (Outcome::Leased(grants), Some(leases)) = (outcome, &mut self.leases) else { return };
+        for grant in grants {
+            leases.granted(grant.attempt, Some((worker.to_owned(), ask)), now);
+        }
+    }
+}
+
 impl Waiter {
     /// Tells a caller that the record's fate isn't known here.
     pub(super) fn fail(self) {
-        if let Waiter::Caller(responder) | Waiter::Lease(responder) = self {
+        if let Waiter::Caller(responder) | Waiter::Lease(_, _, responder) = self {
             let text = "the segment can't commit at present";
             let _ = responder.send(Err(Error::new(Kind::StoreUnavailable, text)));
         }
--- a/src/wire/batch.rs
+++ b/src/wire/batch.rs
@@ -172,6 +172,9 @@
     /// Most items it wants.
     #[prost(uint32, tag = "3")]
     pub limit: u32,
+    /// Number of this ask, from one, rising.
+    #[prost(uint64, tag = "4")]
+    pub ask: u64,
 }
 
 /// Attempts that a worker still runs.
@@ -180,6 +183,13 @@
     /// The attempts.
     #[prost(message, repeated, tag = "1")]
     pub attempts: Vec<Attempt>,
+    /// Who holds them.
+    #[prost(string, tag = "2")]
+    pub worker: String,
+    /// No item of asks up to this number will be started any more, but for the
+    /// attempts above.
+    #[prost(uint64, tag = "3")]
+    pub closed: u64,
 }
 
 /// Asks for a page of results.
--- a/tests/batch.rs
+++ b/tests/batch.rs
@@ -5,7 +5,8 @@
 use std::collections::BTreeSet;
 
 use awc::http::Method;
-use fleet::{Fleet, OTHER_KEY, completions};
+use fleet::{Fleet, KEY, OTHER_KEY, completions};
+use standins::faults::Change;
 
 #[actix_rt::test]
 async fn submit_runs_every_item() {
@@ -53,3 +54,69 @@
     assert_eq!(fleet.submit(1, "after", &completions(20)).await.status, 201);
     assert_eq!(fleet.wait_ended("after").await["succeeded"], 20);
 }
+
+#[actix_rt::test]
+async fn submit_platform_down() {
+    let mut fleet = Fleet::start().await;
+    // The segments exist once a first job was accepted in each of them.
+    for name in 0..16 {
+        let accepted = fleet.submit(0, &format!("first-{name}"), &completions(1)).await;
+        assert_eq!(accepted.status, 201, "{}", accepted.text);
+    }
+    fleet.kv.set(Change { outage: Some(true), ..Change::default() });
+    let accepted = fleet.submit(0, "during", &completions(100)).await;
+    assert_eq!(accepted.status, 201, "{}", accepted.text);
+    let resent = fleet.submit(1, "during", &completions(100)).await;
+    assert_eq!(resent.status, 200, "a resend meets its job: {}", resent.text);
+    assert_eq!(fleet.wait_ended("during").await["succeeded"], 100);
+    fleet.restart_store(1).await;
+    assert_eq!(fleet.results("during", 1_000).await.len(), 100);
+}
+
+#[actix_rt::test]
+async fn submit_all_stores_restarted() {
+    let mut fleet = Fleet::start().await;
+    assert_eq!(fleet.submit(0, "kept", &completions(50)).await.status, 201);
+    fleet.wait_ended("kept").await;
+    let before = fleet.results("kept", 1_000).await;
+    for index in 0..3 {
+        fleet.kill_store(index).await;
+    }
+    for index in 0..3 {
+        fleet.start_store(index).await;
+    }
+    let resent = fleet.submit(1, "kept", &completions(50)).await;
+    assert_eq!(resent.status, 200, "{}", resent.text);
+    assert_eq!(fleet.results("kept", 1_000).await, before, "results never change");
+}
+
+#[actix_rt::test]
+async fn cancel_stops_items() {
+    let fleet = Fleet::start().await;
+    assert_eq!(fleet.submit(0, "stopped", &completions(20_000)).await.status, 201);
+    let path = "/v1/batches/stopped/cancel";
+    let cancelled = fleet.call(1, KEY, Method::POST, path, String::new()).await;
+    assert_eq!(cancelled.status, 200, "{}", cancelled.text);
+    let started = fleet.engine_runs();
+    let progress = fleet.wait_ended("stopped").await;
+    assert_eq!(progress["phase"], "cancelled");
+    // Another job of the same size class runs through; the cancelled one adds nothing.
+    assert_eq!(fleet.submit(0, "next", &completions(10)).await.status, 201);
+    fleet.wait_ended("next").await;
+    assert_eq!(fleet.engine_runs() - started, 10, "only the next job's items ran");
+    assert_eq!(fleet.results("stopped", 1_000).await.len(), 20_000);
+}
+
+#[actix_rt::test]
+async fn submit_not_whole() {
+    let fleet = Fleet::start().await;
+    assert_eq!(fleet.submit(0, "first", &completions(1)).await.status, 201);
+    for body in ["", "{}", "{\"custom_id\": \"a\", \"body\": {}}\nbroken"] {
+        let refused = fleet.submit(0, "broken", body).await;
+        assert!((400..500).contains(&refused.status), "{body}: {}", refused.text);
+        let hidden = fleet.get("/v1/batches/broken").await;
+        assert_eq!(hidden.status, 404, "nothing was accepted: {}", hidden.text);
+    }
+    let twice = [completions(1), completions(1)].join("\n");
+    assert_eq!(fleet.submit(0, "broken", &twice).await.status, 422);
+}
--- a/tests/fleet/mod.rs
+++ b/tests/fleet/mod.rs
@@ -75,6 +75,17 @@
         node.stop().await;
     }
 
+    /// Kills a store and starts it again on its disk.
+    pub async fn restart_store(&mut self, index: usize) {
+        self.kill_store(index).await;
+        self.start_store(index).await;
+    }
+
+    /// Completions that the engine was sent.
+    pub fn engine_runs(&self) -> u64 {
+        self.engines[0].counters.all().get("/v1/completions").copied().unwrap_or(0)
+    }
+
     /// Empties a killed store's disk.
     pub fn lose_disk(&mut self, index: usize) {
         self.folders[index] = TempDir::new().expect("folder");
