--- a/programs/src/command/mod.rs
+++ b/programs/src/command/mod.rs
@@ -8,11 +8,11 @@
 mod entries;
 mod failure;
 mod get;
+mod jobs;
 mod print;
 mod remote;
 mod status;
 mod watch;
-mod jobs;
 
 pub use failure::Failure;
 
