Order engines under a lease, lend parts of tokens, measure limits

Cause: nothing brought engines to the configured version; two homes with 0.6 and 0.5 of a token refused a request that both together could grant; the random run of rates didn't pass tables between peers as the daemons do, so most of its VMs never saw a table settle.

--- a/src/admission/share/bucket.rs
+++ b/src/admission/share/bucket.rs
@@ -115,14 +115,14 @@
     /// Takes one token; otherwise says when the next one will be here.
     pub fn take(&mut self, now: Time) -> Result<(), Time> {
         self.refill(now);
-        if self.take_borrowed() {
-            return Ok(());
-        }
-        if self.balance < TOKEN {
+        if self.missing() > 0 {
             return Err(self.next_token(now));
         }
-        self.balance -= TOKEN;
-        self.granted.push_back(Outstanding { amount: TOKEN, until: now.after(GIVE_BACK) });
+        let own = TOKEN - self.take_borrowed(TOKEN);
+        if own > 0 {
+            self.balance -= own;
+            self.granted.push_back(Outstanding { amount: own, until: now.after(GIVE_BACK) });
+        }
         Ok(())
     }
 
@@ -134,27 +134,37 @@
         }
     }
 
-    /// Lends up to `want` whole tokens that must be spent before `until`.
+    /// Millionths that are missing for one token.
+    pub fn missing(&self) -> u64 {
+        TOKEN.saturating_sub(self.balance.saturating_add(sum(&self.borrowed)))
+    }
+
+    /// Lends `want` millionths, which must be spent before `until`, or none:
+    /// less would not make a token.
     pub fn lend(&mut self, want: u64, now: Time, until: Time) -> u64 {
         self.refill(now);
-        let count = want.min(self.balance / TOKEN);
-        if count == 0 {
+        if want == 0 || self.balance < want {
             return 0;
         }
-        self.balance -= count * TOKEN;
-        self.lent.push_back(Outstanding { amount: count * TOKEN, until });
-        count
+        self.balance -= want;
+        self.lent.push_back(Outstanding { amount: want, until });
+        want
     }
 
-    /// Keeps borrowed tokens until they expire.
-    pub fn receive(&mut self, count: u64, until: Time) {
-        self.borrowed.push_back(Outstanding { amount: count * TOKEN, until });
+    /// Keeps borrowed millionths until they expire.
+    pub fn receive(&mut self, amount: u64, until: Time) {
+        self.borrowed.push_back(Outstanding { amount, until });
     }
 
     /// When the next whole token will be here.
     pub fn next_token(&self, now: Time) -> Time {
-        let missing = TOKEN.saturating_sub(self.balance);
-        if self.slice.rate == 0 || self.slice.burst < TOKEN {
+        self.next(TOKEN, now)
+    }
+
+    /// When `want` millionths will be here.
+    pub fn next(&self, want: u64, now: Time) -> Time {
+        let missing = want.saturating_sub(self.balance);
+        if self.slice.rate == 0 || self.slice.burst < want {
             return Time::NEVER;
         }
         let span = (u128::from(missing) * SECOND_US).div_ceil(u128::from(self.slice.rate));
@@ -175,13 +185,17 @@
         self.balance = self.balance.saturating_add(brought).min(self.room());
     }
 
-    fn take_borrowed(&mut self) -> bool {
-        let Some(loan) = self.borrowed.front_mut() else { return false };
-        loan.amount -= TOKEN;
-        if loan.amount == 0 {
-            self.borrowed.pop_front();
+    fn take_borrowed(&mut self, most: u64) -> u64 {
+        let mut taken = 0;
+        while let Some(loan) = self.borrowed.front_mut().filter(|_| taken < most) {
+            let part = loan.amount.min(most - taken);
+            loan.amount -= part;
+            taken += part;
+            if loan.amount == 0 {
+                self.borrowed.pop_front();
+            }
         }
-        true
+        taken
     }
 
     fn room(&self) -> u64 {
--- a/src/admission/share/holder.rs
+++ b/src/admission/share/holder.rs
@@ -174,10 +174,16 @@
         self.ledger.give_back(organisation, now);
     }
 
-    /// Lends tokens, and says when the next one will be here.
+    /// Millionths that are missing for one token.
+    pub fn missing(&self, organisation: &Organisation) -> u64 {
+        self.ledger.missing(organisation)
+    }
+
+    /// Lends `want` millionths or none, and says when as many will
+    /// be here again.
     pub fn lend(&mut self, organisation: &Organisation, want: u64, now: Time) -> (u64, Time) {
         let count = self.ledger.lend(organisation, want, now);
-        (count, self.ledger.next_token(organisation, now))
+        (count, self.ledger.next(organisation, want, now))
     }
 
     /// Whom to borrow from: the largest holder that isn't known to be empty.
@@ -192,7 +198,7 @@
         slices.max().map(|(_, vm)| vm.clone())
     }
 
-    /// Takes lent tokens in, unless they come too late.
+    /// Takes lent millionths in, unless they come too late.
     pub fn receive(&mut self, organisation: &Organisation, count: u64, asked: Time, now: Time) {
         self.ledger.receive(organisation, count, asked, now);
     }
--- a/src/admission/share/ledger.rs
+++ b/src/admission/share/ledger.rs
@@ -7,7 +7,7 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use super::bucket::{Bucket, Slice};
+use super::bucket::{Bucket, Slice, TOKEN};
 use crate::clock::Time;
 use crate::id::Organisation;
 
@@ -83,7 +83,13 @@
         }
     }
 
-    /// Lends up to `want` tokens; they have left this VM when this returns.
+    /// Millionths that are missing for one token of `organisation`.
+    pub fn missing(&self, organisation: &Organisation) -> u64 {
+        self.buckets.get(organisation).map_or(TOKEN, Bucket::missing)
+    }
+
+    /// Lends `want` millionths or none; they have left this VM when this
+    /// returns.
     pub fn lend(&mut self, organisation: &Organisation, want: u64, now: Time) -> u64 {
         if self.valid.passed(now) {
             return 0;
@@ -92,7 +98,7 @@
         bucket.lend(want, now, now.after(LOAN_HELD))
     }
 
-    /// Keeps tokens that were asked for at `asked`.
+    /// Keeps millionths that were asked for at `asked`.
     pub fn receive(&mut self, organisation: &Organisation, count: u64, asked: Time, now: Time) {
         let until = asked.after(LOAN);
         if count == 0 || until.passed(now) {
@@ -102,6 +108,11 @@
         self.buckets.entry(organisation.clone()).or_insert_with(empty).receive(count, until);
     }
 
+    /// When `want` millionths will be here to lend.
+    pub fn next(&self, organisation: &Organisation, want: u64, now: Time) -> Time {
+        self.buckets.get(organisation).map_or(Time::NEVER, |bucket| bucket.next(want, now))
+    }
+
     /// When the next token of `organisation` will be here.
     pub fn next_token(&self, organisation: &Organisation, now: Time) -> Time {
         self.buckets.get(organisation).map_or(Time::NEVER, |bucket| bucket.next_token(now))
--- a/src/admission/share/shares.rs
+++ b/src/admission/share/shares.rs
@@ -110,11 +110,13 @@
     }
 
     async fn borrow(&self, organisation: &Organisation) -> Result<bool> {
-        let lender = self.with(|holder, now| holder.lender(organisation, now)).flatten();
-        let Some(lender) = lender else { return Ok(false) };
+        let lender = self.with(|holder, now| {
+            Some((holder.lender(organisation, now)?, holder.missing(organisation)))
+        });
+        let Some((lender, want)) = lender.flatten() else { return Ok(false) };
         let view = self.inner.context.shared.load();
         let asked = self.inner.context.clock.now();
-        let want = limits::Borrow { organisation: organisation.to_string(), want: 1 };
+        let want = limits::Borrow { organisation: organisation.to_string(), want };
         let lent = match view.members.get(&lender) {
             Some(member) => {
                 let client = self.inner.context.peers.get(member.peer);
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -23,6 +23,7 @@
 pub mod log;
 pub mod member;
 pub mod node;
+pub mod order;
 pub mod platform;
 pub mod route;
 pub mod segment;
--- a/src/node/entry.rs
+++ b/src/node/entry.rs
@@ -25,6 +25,7 @@
 use crate::emit;
 use crate::error::Result;
 use crate::event::Event;
+use crate::order;
 use crate::route::Router;
 use crate::settings;
 use crate::upstream;
@@ -118,6 +119,8 @@
         let batch: Rc<dyn Handler> = batch::start(client, line, upstreams);
         actix_rt::spawn(router.run());
         let platform = control::Platform::from(&settings.platform);
+        let orders = (platform.key_value.clone(), settings.platform.prefix.clone());
+        actix_rt::spawn(order::follow(context.clone(), orders.0, orders.1));
         let limits = admission::start(admission, &platform, &settings.platform.prefix);
         let handlers = control::start(context.clone(), (&settings).into(), platform, commands);
         let areas = Areas {
--- a/src/simulate/mod.rs
+++ b/src/simulate/mod.rs
@@ -7,7 +7,11 @@
 mod agenda;
 pub mod capacity;
 mod conformance;
+pub mod orders;
 pub mod rates;
+pub mod refusals;
+pub mod rollout;
+pub mod waits;
 
 pub use agenda::Agenda;
 pub use conformance::Conformance;
--- a/src/simulate/rates.rs
+++ b/src/simulate/rates.rs
@@ -20,7 +20,7 @@
     pub unconfirmed: u64,
     /// Grants that were given back.
     pub given_back: u64,
-    /// Tokens that were lent.
+    /// Loans.
     pub lent: u64,
     /// Tables that settled.
     pub settled: u64,
--- a/src/wire/limits.rs
+++ b/src/wire/limits.rs
@@ -77,7 +77,7 @@
     /// Whose tokens.
     #[prost(string, tag = "1")]
     pub organisation: String,
-    /// How many.
+    /// How many, in millionths.
     #[prost(uint64, tag = "2")]
     pub want: u64,
 }
@@ -85,10 +85,10 @@
 /// Lends tokens.
 #[derive(Clone, PartialEq, prost::Message)]
 pub struct Lent {
-    /// How many; they may be spent for a fixed time from the question on.
+    /// How many, in millionths; they may be spent for a fixed time from the question on.
     #[prost(uint64, tag = "1")]
     pub count: u64,
-    /// Microseconds until the lender has one more; absent: it never will.
+    /// Microseconds until the lender has what was asked for; absent: never.
     #[prost(uint64, optional, tag = "2")]
     pub next_us: Option<u64>,
 }
