--- a/src/segment/simulate.rs
+++ b/src/segment/simulate.rs
@@ -37,6 +37,8 @@
     pub acknowledged: u64,
     /// Sets that the platform took.
     pub sets: u64,
+    /// Logs compacted.
+    pub compactions: u64,
     /// Restarts of stores.
     pub restarts: u64,
     /// Pauses of stores.
@@ -181,6 +183,10 @@
             let spares = spares.map(|other| self.stores[other].replica.clone()).collect();
             self.stores[index].machine.offer(spares);
         }
+        if self.random.random_bool(0.005) {
+            let compacted = self.stores[index].compact();
+            self.report.compactions += u64::from(compacted);
+        }
         if self.stores[index].machine.accepts() && self.random.random_bool(0.1) {
             let count = self.random.random_range(1..4);
             let payloads = (0..count).map(|_| self.payload()).collect();
@@ -344,7 +350,8 @@
             return Ok(());
         }
         for (seq, entry) in self.acknowledged.range(from..=through) {
-            if store.log.get(*seq) != Some(entry) {
+            let compacted = *seq <= store.log.base.seq;
+            if !compacted && store.log.get(*seq) != Some(entry) {
                 return self.violation(format!("store {index} lost or changed entry {seq}"));
             }
         }
@@ -429,6 +436,16 @@
         Self { replica, machine, log, resumes: 0, alive: true }
     }
 
+    /// Drops everything that is committed, as if it meant nothing any more.
+    fn compact(&mut self) -> bool {
+        let Some(last) = self.log.get(self.machine.commit()) else { return false };
+        let base = last.mark;
+        self.log.entries.retain(|entry| entry.mark.seq > base.seq);
+        self.log.base = base;
+        self.machine.compacted(base);
+        true
+    }
+
     fn read(&self, send: Send) -> Append {
         let last = send.through.min(send.previous.seq + MAX_SEND);
         let entries = (send.previous.seq + 1..=last).filter_map(|seq| self.log.get(seq).cloned());
--- a/standins/src/bench/random.rs
+++ b/standins/src/bench/random.rs
@@ -4,8 +4,13 @@
 type Run = fn(u64, u64) -> Result<String, String>;
 
 /// Every random run, by name.
-pub const RUNS: &[(&str, Run)] =
-    &[("config", config), ("online", online), ("rates", rates), ("segments", segments)];
+pub const RUNS: &[(&str, Run)] = &[
+    ("config", config),
+    ("jobs", jobs),
+    ("online", online),
+    ("rates", rates),
+    ("segments", segments),
+];
 
 fn config(seed: u64, steps: u64) -> Result<String, String> {
     told(parsleybeam::member::simulate::simulate(seed, short(steps)))
@@ -23,6 +28,10 @@
     told(parsleybeam::segment::simulate(seed, steps))
 }
 
+fn jobs(seed: u64, steps: u64) -> Result<String, String> {
+    told(parsleybeam::batch::simulate(seed, steps))
+}
+
 /// The number of steps for runs that count in 32 bits.
 fn short(steps: u64) -> u32 {
     u32::try_from(steps).unwrap_or(u32::MAX)
