Hold a small organisation's rate on one VM

Cause: a small organisation's rate and burst were split evenly over two home VMs. A full half drops what its rate brings while the other half is empty, and borrowing can't bring back what was dropped: 98 of 23,287 requests within rate were refused. Ruled out: the time that loans and grants take up room (5, 20 and 100 ms gave the same figures); a second home with a tenth, a fifth or a twentieth of the slice (0.107 %, 0.155 %, 0.107 %); lending parts of tokens alone (0.421 %).

--- a/src/admission/share/mod.rs
+++ b/src/admission/share/mod.rs
@@ -20,6 +20,6 @@
 pub use follow::follow;
 pub use holder::{Holder, Questions, Report, VALIDITY};
 pub use ledger::{LOAN, Ledger, Shortage};
-pub use publisher::{Publisher, holders, next_table};
+pub use publisher::{Publisher, divide, holders, next_table};
 pub use shares::Shares;
 pub use table::{Holding, Table};
--- a/src/admission/share/publisher.rs
+++ b/src/admission/share/publisher.rs
@@ -96,6 +96,11 @@
 
 /// Slices for the members and organisations of a view.
 pub fn holders(view: &View) -> BTreeMap<Vm, Holding> {
+    divide(view, home::RATE_PER_HOME)
+}
+
+/// Slices of which each covers `rate_per_home` requests a second at most.
+pub fn divide(view: &View, rate_per_home: f64) -> BTreeMap<Vm, Holding> {
     let entries: Vec<&Member> = view.members.values().filter(|one| holds(one)).collect();
     let mut holders: BTreeMap<Vm, Holding> = entries
         .iter()
@@ -105,7 +110,8 @@
         })
         .collect();
     for (name, spec) in &view.organisations {
-        let homes = home::choose(name, entries.iter().copied(), spec.rate);
+        let count = home::holding(spec.rate, rate_per_home);
+        let homes = home::first(name, entries.iter().copied(), count);
         spread(&mut holders, name, &homes, super::whole(spec));
     }
     holders
--- a/src/simulate/rates/world.rs
+++ b/src/simulate/rates/world.rs
@@ -27,6 +27,8 @@
 /// Organisations: name, requests a second, burst.
 const ORGANISATIONS: [(&str, f64, u32); 3] =
     [("small", 2.0, 3), ("middle", 8.0, 10), ("large", 25.0, 30)];
+/// Lets the organisations have one, two and four holders.
+const RATE_PER_HOME: f64 = 7.0;
 /// Callers send this many times their rate, on average.
 const PRESSURE: f64 = 5.0;
 /// Within a train of requests they send this many times their rate.
@@ -275,7 +277,7 @@
             let may = node.publisher.may_settle(table, now);
             may.then(|| Table { settled: true, ..Table::clone(table) })
         } else {
-            share::next_table(table, share::holders(&node.view))
+            share::next_table(table, share::divide(&node.view, RATE_PER_HOME))
         };
         if let Some(next) = next {
             let call = Call::Swap { expected: table.step(), table: Arc::new(next) };
--- a/tests/limits_measure.rs
+++ b/tests/limits_measure.rs
@@ -9,7 +9,6 @@
 const SEED: u64 = 1;
 
 #[test]
-#[ignore = "listed in KNOWN-RED.txt"]
 fn refusals_stay_below_target() {
     let run = |scheme, crash| refusals::simulate(scheme, SEED, 300, crash);
     let shares = run(Scheme::Shares, false);
