Lease the slots of virtual engines as the product does

Cause: the world gave each VM a fixed part of each engine, which the product no longer does. Fixed division stays as a baseline of tail. Conclusion: each idle VM's spare slot is kept from the two VMs that callers are steered to, which at 8 VMs and 16 slots leaves them about 10 of 16.

--- a/standins/src/bench/experiment/fairness.rs
+++ b/standins/src/bench/experiment/fairness.rs
@@ -3,7 +3,7 @@
 use parsleybeam::admission::queue::Order;
 
 use super::measure::{Latency, Service, balanced_choices, by_organisation, offer};
-use crate::bench::world::World;
+use crate::bench::world::{Division, World};
 use crate::bench::{Curve, Figure, Outcome, Setup, Target};
 
 /// How many times its rate the flooding organisation sends.
@@ -47,7 +47,7 @@
     let site = &setup.site;
     let speeds = vec![1.0; site.replicas];
     let choices = balanced_choices(site, setup.seed);
-    let mut world = World::new(site.organisations(), choices, &speeds, order);
+    let mut world = World::new(site.organisations(), choices, &speeds, order, Division::Leased);
     let mut rates = site.rates.to_vec();
     rates[0] *= FLOOD;
     offer(&mut world, site, &rates, setup.seconds, setup.seed);
--- a/standins/src/bench/world.rs
+++ b/standins/src/bench/world.rs
@@ -7,11 +7,12 @@
 use std::collections::{BTreeMap, HashMap};
 use std::time::Duration;
 
+use parsleybeam::admission::capacity::{Owner, Want};
 use parsleybeam::admission::queue::{Order, Queue, Slot};
 use parsleybeam::admission::{Pick, Ticket};
 use parsleybeam::clock::Time;
 use parsleybeam::config::resource::Serves;
-use parsleybeam::id::{Model, Organisation, Upstream};
+use parsleybeam::id::{Model, Organisation, Upstream, Vm};
 
 /// Step of the virtual clock.
 pub const TICK: Duration = Duration::from_millis(4);
@@ -57,14 +58,27 @@
     first_token: Option<Time>,
 }
 
+/// How an engine's slots are divided over the VMs.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Division {
+    /// Leased in bulk by an owner, as in the product.
+    Leased,
+    /// The same number to each VM, for good.
+    Fixed,
+}
+
 struct Engine {
     name: Upstream,
+    owner: Owner,
     /// Share of the normal speed.
     speed: f64,
     runs: Vec<Run>,
 }
 
 struct Entry {
+    vm: Vm,
+    limits: BTreeMap<Upstream, u32>,
+    asked: Time,
     choice: Box<dyn Choice>,
     queue: Queue,
     waiting: HashMap<u64, Job>,
@@ -85,6 +99,14 @@
     fn report(&self, _upstream: &Upstream, _running: u32, _at: Time) {}
 }
 
+/// Time between a VM's questions for slots, as in the product.
+const LEASE_PERIOD: Duration = Duration::from_millis(300);
+/// The same while requests wait.
+const STARVED_PERIOD: Duration = Duration::from_millis(20);
+/// One slot is asked for beyond what is used, and one more for each so many.
+const SPARE_PART: u32 = 4;
+/// Slots that an owner keeps for a silent VM.
+const FALLBACK_SLOTS: u32 = 1;
 /// Time between load reports of an engine.
 const REPORT_PERIOD: Duration = Duration::from_millis(200);
 
@@ -96,33 +118,47 @@
     entries: Vec<Entry>,
     engines: Vec<Engine>,
     next_report: Time,
+    division: Division,
+    questions: u64,
     /// Ended requests with their organisation.
     pub ended: Vec<(usize, End)>,
 }
 
 impl World {
-    /// Makes an idle world; each VM holds an equal part of each engine.
+    /// Makes an idle world.
     pub fn new(
         organisations: Vec<Organisation>,
         choices: Vec<Box<dyn Choice>>,
         speeds: &[f64],
         order: Order,
+        division: Division,
     ) -> Self {
         let target = Serves::Model(Model::from("notes"));
+        let vms: Vec<Vm> = (0..choices.len()).map(|n| Vm::from(format!("entry-{n}"))).collect();
         let engines: Vec<_> =
-            speeds.iter().enumerate().map(|(n, speed)| engine(n, *speed)).collect();
-        let limit = (CAPACITY / choices.len() as u32).max(1);
-        let slot = Slot { serves: target.clone(), limit, live: true };
-        let slots: BTreeMap<_, _> =
-            engines.iter().map(|engine| (engine.name.clone(), slot.clone())).collect();
-        let entry = |choice| {
+            speeds.iter().enumerate().map(|(n, speed)| engine(n, *speed, &vms)).collect();
+        let limit = (CAPACITY / vms.len() as u32).max(1);
+        let limits: BTreeMap<_, _> =
+            engines.iter().map(|engine| (engine.name.clone(), limit)).collect();
+        let entry = |(vm, choice)| {
             let mut queue = Queue::new(order);
-            queue.set_slots(slots.clone());
-            Entry { choice, queue, waiting: HashMap::new() }
+            queue.set_slots(slots(&target, &limits));
+            let (limits, asked) = (limits.clone(), Time(0));
+            Entry { vm, limits, asked, choice, queue, waiting: HashMap::new() }
         };
-        let entries = choices.into_iter().map(entry).collect();
+        let entries = vms.into_iter().zip(choices).map(entry).collect();
         let (now, next_report) = (Time(0), Time(0));
-        Self { now, target, organisations, entries, engines, next_report, ended: Vec::new() }
+        Self {
+            now,
+            target,
+            organisations,
+            entries,
+            engines,
+            next_report,
+            division,
+            questions: 0,
+            ended: Vec::new(),
+        }
     }
 
     /// The present.
@@ -160,10 +196,37 @@
             self.report();
         }
         for vm in 0..self.entries.len() {
+            if self.division == Division::Leased {
+                self.lease(vm);
+            }
             self.start(vm);
         }
     }
 
+    /// Asks each engine's owner for slots: at intervals, and soon after
+    /// requests found none.
+    fn lease(&mut self, vm: usize) {
+        let entry = &mut self.entries[vm];
+        let period = if entry.queue.any_waiting() { STARVED_PERIOD } else { LEASE_PERIOD };
+        if !entry.asked.after(period).passed(self.now) {
+            return;
+        }
+        entry.asked = self.now;
+        self.questions += 1;
+        for room in entry.queue.room() {
+            let engine = self.engines.iter_mut().find(|engine| engine.name == room.upstream);
+            let Some(engine) = engine else { continue };
+            let busy = room.online_running + room.online_waiting;
+            let want = busy + 1 + busy / SPARE_PART;
+            let held = entry.limits.get(&room.upstream).copied().unwrap_or_default().min(want);
+            let running = room.online_running;
+            let asked = Want { want, running, held, sequence: self.questions };
+            let count = engine.owner.lease(&entry.vm, asked, self.now);
+            entry.limits.insert(room.upstream, count);
+        }
+        entry.queue.set_slots(slots(&self.target, &entry.limits));
+    }
+
     fn report(&mut self) {
         self.next_report = self.now.after(REPORT_PERIOD);
         for engine in &self.engines {
@@ -231,8 +294,15 @@
     }
 }
 
-fn engine(number: usize, speed: f64) -> Engine {
-    Engine { name: Upstream::from(format!("engine-{number}")), speed, runs: Vec::new() }
+fn engine(number: usize, speed: f64, vms: &[Vm]) -> Engine {
+    let mut owner = Owner::new(Time(0));
+    owner.configure(CAPACITY, vms.iter().map(|vm| (vm.clone(), FALLBACK_SLOTS)).collect());
+    Engine { name: Upstream::from(format!("engine-{number}")), owner, speed, runs: Vec::new() }
+}
+
+fn slots(target: &Serves, limits: &BTreeMap<Upstream, u32>) -> BTreeMap<Upstream, Slot> {
+    let slot = |limit| Slot { serves: target.clone(), limit, live: true };
+    limits.iter().map(|(name, limit)| (name.clone(), slot(*limit))).collect()
 }
 
 fn token_ms(running: usize) -> f64 {
