--- a/programs/tests/common/fleet.rs
+++ b/programs/tests/common/fleet.rs
@@ -206,6 +206,9 @@
     pub async fn furnish(&self) {
         self.apply("organisation", "limpa", json!({"rate": 500.0, "burst": 500})).await;
         self.apply("key", "limpa-1", json!({"organisation": "limpa", "sha256": digest(KEY)})).await;
+        self.apply("organisation", "jadranka", json!({"rate": 500.0, "burst": 500})).await;
+        let other = json!({"organisation": "jadranka", "sha256": digest(OTHER_KEY)});
+        self.apply("key", "jadranka-1", other).await;
         let replicas = self.engines.len();
         self.apply("model", "notes", json!({"version": "1", "replicas": replicas})).await;
         for (number, engine) in self.engines.iter().enumerate() {
@@ -243,6 +246,8 @@
     }
 }
 
+/// A key of another organisation.
+pub const OTHER_KEY: &str = "sk-jadranka-0123456789";
 /// A caller's key.
 pub const KEY: &str = "sk-limpa-0123456789";
 
--- a/programs/tests/common/stage.rs
+++ b/programs/tests/common/stage.rs
@@ -123,9 +123,15 @@
             return self.job(case, &name).await;
         }
         if let Some(name) = case.try_take_arg::<String>("cancel-job")? {
-            let at = self.caller(case)?;
+            let (at, key) = (self.caller(case)?, key_of(case)?);
             let path = format!("/v1/batches/{name}/cancel");
-            let sent = Request::new("POST", at, &path).key(KEY).send().await;
+            let sent = Request::new("POST", at, &path).key(&key).send().await;
+            return Ok(self.outcome(&Wanted::Receipt, &sent));
+        }
+        if let Some(name) = case.try_take_arg::<String>("results")? {
+            let (at, key) = (self.caller(case)?, key_of(case)?);
+            let path = format!("/v1/batches/{name}/results");
+            let sent = Request::new("GET", at, &path).key(&key).send().await;
             return Ok(self.outcome(&Wanted::Receipt, &sent));
         }
         let brief = case.take_flag("brief")?;
@@ -157,7 +163,7 @@
         case: &mut TestCase,
     ) -> Result<(Request, Wanted), datadriven::DataDrivenError> {
         let at = self.caller(case)?;
-        let key = case.try_take_arg::<String>("key")?.unwrap_or_else(|| KEY.into());
+        let key = key_of(case)?;
         if let Some(body) = case.try_take_arg::<String>("bill")? {
             let mut request = Request::new("POST", at, "/bill").key(&key).body(body);
             if let Some(key) = case.try_take_arg::<String>("idempotency")? {
@@ -288,6 +294,9 @@
         if let Some(span) = case.try_take_arg::<u64>("no-new-runs-for-ms")? {
             return Ok(self.no_new_runs(Duration::from_millis(span)).await);
         }
+        if let Some(number) = case.try_take_arg::<usize>("unused-engine")? {
+            return Ok(self.unused_engine(number).await);
+        }
         if case.take_flag("engines-idle")? {
             return Ok(self.engines_idle().await);
         }
@@ -357,6 +366,28 @@
         }
     }
 
+    /// Sends calls through every entry VM; counts those that an engine got.
+    async fn unused_engine(&mut self, number: usize) -> String {
+        let fleet = self.fleet();
+        let asked = async || {
+            let calls = fleet.engines[number].get("/standin/counters").await;
+            calls["/v1/completions"].as_u64().unwrap_or_default()
+        };
+        let before = asked().await;
+        for call in 0..CALLS {
+            for vm in &fleet.entries {
+                let body = completion(&format!("unused {call}"), 1, false);
+                let call = Request::post(vm.caller, "/v1/completions", &body).key(KEY);
+                let answer = call.send().await.expect("an answer");
+                assert_eq!(answer.status, 200, "{}", answer.text());
+            }
+        }
+        match asked().await - before {
+            0 => "yes".into(),
+            more => format!("it got {more}"),
+        }
+    }
+
     async fn engines_idle(&mut self) -> String {
         for engine in &self.fleet().engines {
             eventually("the engine is idle", async || {
@@ -437,6 +468,9 @@
     }
 }
 
+/// Calls sent through each entry VM to see where they go.
+const CALLS: usize = 20;
+
 /// Bytes of a wrong answer that a failed test prints.
 const PRINTED_BYTES: usize = 600;
 
@@ -453,6 +487,10 @@
     if refused { "refused not-run".into() } else { outcome.to_owned() }
 }
 
+fn key_of(case: &mut TestCase) -> Result<String, datadriven::DataDrivenError> {
+    Ok(case.try_take_arg("key")?.unwrap_or_else(|| KEY.into()))
+}
+
 fn item(job: &str, number: u32, tokens: u32) -> String {
     let body = completion(&format!("{job} {number}"), tokens, false);
     json!({"custom_id": format!("item-{number}"), "body": body}).to_string()
--- a/programs/tests/scenarios.rs
+++ b/programs/tests/scenarios.rs
@@ -49,4 +49,6 @@
     platform_outage
     job_resent
     cancelled_job
+    removed_upstream
+    other_organisation
 }
