--- a/standins/src/bench/random.rs
+++ b/standins/src/bench/random.rs
@@ -5,6 +5,7 @@
 
 /// Every random run, by name.
 pub const RUNS: &[(&str, Run)] = &[
+    ("capacity", capacity),
     ("config", config),
     ("jobs", jobs),
     ("online", online),
@@ -12,6 +13,10 @@
     ("segments", segments),
 ];
 
+fn capacity(seed: u64, steps: u64) -> Result<String, String> {
+    told(parsleybeam::simulate::capacity::simulate(seed, steps))
+}
+
 fn config(seed: u64, steps: u64) -> Result<String, String> {
     told(parsleybeam::member::simulate::simulate(seed, short(steps)))
 }
