--- a/standins/src/bench/random.rs
+++ b/standins/src/bench/random.rs
@@ -9,6 +9,7 @@
     ("config", config),
     ("jobs", jobs),
     ("online", online),
+    ("orders", orders),
     ("rates", rates),
     ("segments", segments),
 ];
@@ -21,6 +22,14 @@
     told(parsleybeam::member::simulate::simulate(seed, short(steps)))
 }
 
+fn jobs(seed: u64, steps: u64) -> Result<String, String> {
+    told(parsleybeam::batch::simulate(seed, steps))
+}
+
+fn orders(seed: u64, steps: u64) -> Result<String, String> {
+    told(parsleybeam::simulate::orders::simulate(seed, steps))
+}
+
 fn online(seed: u64, steps: u64) -> Result<String, String> {
     told(parsleybeam::route::simulate::simulate(seed, short(steps)))
 }
