Push only the last write to members that never answered

Cause: a write was pushed to members whose version isn't known as a delta from zero, which is the whole state; the writer of a large fleet knows few of them. Ruled out: asking each for its version first (a round trip more for every write); a member that lacks more answers with what it holds, and the next push builds on that. Conclusion: a write costs each member its own size.

--- a/src/member/acceptance.rs
+++ b/src/member/acceptance.rs
@@ -30,9 +30,14 @@
         }
     }
 
+    /// Version that `vm` was last known to hold, if it ever answered.
+    pub fn known(&self, vm: &Vm) -> Option<u64> {
+        self.answers.get(vm).map(|answer| answer.0)
+    }
+
     /// Version that `vm` was last known to hold.
     pub fn version(&self, vm: &Vm) -> u64 {
-        self.answers.get(vm).map_or(0, |answer| answer.0)
+        self.known(vm).unwrap_or(0)
     }
 
     /// Whether `vm` is known to hold `version` at `now`.
--- a/src/member/machine.rs
+++ b/src/member/machine.rs
@@ -56,6 +56,8 @@
     start: Time,
     tokens: Tokens,
     cache: Cache,
+    /// Version that was held before the last one was adopted.
+    before: u64,
     table: Table,
     hubs: Hubs,
     evidence: Evidence,
@@ -80,6 +82,7 @@
             start: now,
             tokens: Tokens::new(offset),
             cache: Cache::default(),
+            before: 0,
             table: Table::default(),
             hubs: Hubs::default(),
             evidence: Evidence::default(),
@@ -309,7 +312,9 @@
 
     /// Moves the configuration on; returns the keys that changed.
     pub fn adopt(&mut self, delta: Delta) -> Vec<Item> {
+        let before = self.cache.version();
         let Adopted::Changed(items) = self.cache.adopt(delta) else { return Vec::new() };
+        self.before = before;
         self.evidence.adopt(self.cache.version());
         let table = Table::read(&self.cache);
         if table != self.table {
@@ -345,7 +350,7 @@
 
     /// Wants all members to hold the present version, for a while.
     pub fn spread(&mut self, now: Time) {
-        self.pushes.want(self.cache.version(), now.after(PUSH_BOUND));
+        self.pushes.want(self.cache.version(), self.before, now.after(PUSH_BOUND));
     }
 
     fn push(&mut self, now: Time, actions: &mut Vec<Action>) {
@@ -363,7 +368,8 @@
             if skip || !self.pushes.begin(&vm, now) {
                 continue;
             }
-            let delta = self.cache.delta(self.holders.version(&vm).min(wanted));
+            let held = self.holders.known(&vm).unwrap_or(self.pushes.base());
+            let delta = self.cache.delta(held.min(wanted));
             actions.push(Action::Push(vm, delta));
         }
     }
--- a/src/member/pushes.rs
+++ b/src/member/pushes.rs
@@ -13,18 +13,27 @@
 #[derive(Clone, Debug, Default)]
 pub(super) struct Pushes {
     wanted: u64,
+    base: u64,
     until: Time,
     settled: u64,
     under_way: HashMap<Vm, Time>,
 }
 
 impl Pushes {
-    /// Wants every member to hold `version`, trying until `until`.
-    pub(super) fn want(&mut self, version: u64, until: Time) {
+    /// Wants every member to hold `version`, trying until `until`; the members
+    /// most likely hold `base` already.
+    pub(super) fn want(&mut self, version: u64, base: u64, until: Time) {
         self.wanted = self.wanted.max(version);
+        self.base = base;
         self.until = self.until.max(until);
     }
 
+    /// Version that members which never answered are taken to hold. One that
+    /// holds less answers with what it holds.
+    pub(super) fn base(&self) -> u64 {
+        self.base
+    }
+
     /// Version that members must hold, while there is one.
     pub(super) fn wanted(&self, now: Time) -> Option<u64> {
         (!self.until.passed(now)).then_some(self.wanted)
