--- a/programs/src/command/jobs/mod.rs
+++ b/programs/src/command/jobs/mod.rs
@@ -16,6 +16,8 @@
 use client::Client;
 use display::Display;
 
+/// Variable that gives the entry VM where no option does.
+const ENTRY_VARIABLE: &str = "PARSLEYBEAM_ENTRY";
 /// Pause between two looks at a job's progress.
 const POLL: Duration = Duration::from_millis(500);
 
@@ -26,7 +28,10 @@
     #[options(help = "print this help")]
     help: bool,
     /// Caller address of an entry VM.
-    #[options(help = "caller address of an entry VM, as IP:PORT", required)]
+    #[options(
+        help = "caller address of an entry VM; else taken from PARSLEYBEAM_ENTRY",
+        meta = "IP:PORT"
+    )]
     entry: Option<SocketAddr>,
     /// Caller's key.
     #[options(help = "caller's key; else taken from PARSLEYBEAM_KEY")]
@@ -96,7 +101,7 @@
 
 /// Does what the command line asks for.
 pub async fn run(arguments: Arguments) -> Result<(), Failure> {
-    let entry = arguments.entry.ok_or_else(|| Failure::Input("--entry is needed".into()))?;
+    let entry = entry(&arguments)?;
     let key = arguments.key.or_else(|| std::env::var("PARSLEYBEAM_KEY").ok());
     let key = key.ok_or_else(|| Failure::Input("give --key or set PARSLEYBEAM_KEY".into()))?;
     let client = Client::new(entry, &key);
@@ -199,3 +204,13 @@
     read.map_err(|error| Failure::Input(format!("{}: {error}", file.display())))?;
     Ok(body)
 }
+
+/// The entry VM from the option or, without it, the environment.
+fn entry(arguments: &Arguments) -> Result<SocketAddr, Failure> {
+    if let Some(entry) = arguments.entry {
+        return Ok(entry);
+    }
+    let text = std::env::var(ENTRY_VARIABLE)
+        .map_err(|_| Failure::Input(format!("give --entry or set {ENTRY_VARIABLE}")))?;
+    text.parse().map_err(|error| Failure::Input(format!("{ENTRY_VARIABLE}: {text}: {error}")))
+}
