Keep signals beside the processes they are sent to

Ruled out: splitting the words over files; each is one step of one stage. No word, bound or expectation changed.

--- a/programs/tests/common/process.rs
+++ b/programs/tests/common/process.rs
@@ -135,3 +135,24 @@
     assert!(path.exists(), "{} is missing: cargo build --workspace", path.display());
     path
 }
+
+/// What a scenario does to a process.
+#[derive(Clone, Copy)]
+pub enum Signal {
+    Kill,
+    Freeze,
+    Thaw,
+    Stop,
+}
+
+impl Signal {
+    /// Sends it.
+    pub fn send(self, process: &mut Process) {
+        match self {
+            Signal::Kill => process.kill(),
+            Signal::Freeze => process.freeze(),
+            Signal::Thaw => process.thaw(),
+            Signal::Stop => process.terminate(),
+        }
+    }
+}
--- a/programs/tests/common/stage.rs
+++ b/programs/tests/common/stage.rs
@@ -17,6 +17,7 @@
 use super::client::{Answer, Request, completion, streamed_text};
 use super::eventually;
 use super::fleet::{Fleet, KEY, Plan, Vm};
+use super::process::Signal;
 
 type Sent = Result<Answer, String>;
 
@@ -449,25 +450,6 @@
     }
 }
 
-#[derive(Clone, Copy)]
-enum Signal {
-    Kill,
-    Freeze,
-    Thaw,
-    Stop,
-}
-
-impl Signal {
-    fn send(self, process: &mut super::process::Process) {
-        match self {
-            Signal::Kill => process.kill(),
-            Signal::Freeze => process.freeze(),
-            Signal::Thaw => process.thaw(),
-            Signal::Stop => process.terminate(),
-        }
-    }
-}
-
 /// Calls sent through each entry VM to see where they go.
 const CALLS: usize = 20;
 
