--- a/programs/src/daemon.rs
+++ b/programs/src/daemon.rs
@@ -38,12 +38,19 @@
     }
 }
 
-/// Waits for SIGTERM or SIGINT.
-pub async fn until_stopped() {
+/// Waits for SIGTERM or SIGINT; calls `reload` at each SIGHUP meanwhile.
+pub async fn until_stopped_or<R>(reload: R)
+where
+    R: Fn(),
+{
     let mut terminate = signal(SignalKind::terminate()).expect("signals can be watched");
     let mut interrupt = signal(SignalKind::interrupt()).expect("signals can be watched");
-    tokio::select! {
-        _ = terminate.recv() => {}
-        _ = interrupt.recv() => {}
+    let mut hangup = signal(SignalKind::hangup()).expect("signals can be watched");
+    loop {
+        tokio::select! {
+            _ = terminate.recv() => return,
+            _ = interrupt.recv() => return,
+            _ = hangup.recv() => reload(),
+        }
     }
 }
--- a/programs/src/entry.rs
+++ b/programs/src/entry.rs
@@ -14,7 +14,7 @@
         let settings: settings::Entry = settings::load(&arguments.settings)?;
         let log = parsleybeam::log::logger(&settings.log);
         let node = entry::start(settings, log).await?;
-        daemon::until_stopped().await;
+        daemon::until_stopped_or(|| {}).await;
         node.drain().await;
         Ok(())
     })
--- /dev/null
+++ b/programs/src/serve.rs
@@ -0,0 +1,29 @@
+//! The daemon of an entry VM on the users' machines.
+
+mod arguments;
+mod daemon;
+
+use std::process::ExitCode;
+use std::rc::Rc;
+
+use parsleybeam::serve::node;
+use parsleybeam::settings;
+use parsleybeam::transport::Pool;
+use parsleybeam_platform::{Client, Wire};
+
+fn main() -> ExitCode {
+    let arguments: daemon::Arguments = arguments::read();
+    daemon::run("parsleybeam-serve", async {
+        let path = arguments.settings;
+        let settings: settings::Serve = settings::load(&path)?;
+        let log = parsleybeam::log::standard_output(&settings.log);
+        let node = node::start(path, settings, log, |settings, clock| node::Adapter {
+            store: Rc::new(Client::new(settings.key_value, Pool::new(clock))),
+            dialect: Rc::new(Wire),
+        })
+        .await?;
+        daemon::until_stopped_or(|| node.reload()).await;
+        node.drain().await;
+        Ok(())
+    })
+}
--- a/programs/src/store.rs
+++ b/programs/src/store.rs
@@ -14,7 +14,7 @@
         let settings: settings::Store = settings::load(&arguments.settings)?;
         let log = parsleybeam::log::logger(&settings.log);
         let node = store::start(settings, log).await?;
-        daemon::until_stopped().await;
+        daemon::until_stopped_or(|| {}).await;
         node.stop().await;
         Ok(())
     })
--- a/src/admission/share/follow.rs
+++ b/src/admission/share/follow.rs
@@ -17,7 +17,7 @@
 use crate::error::Result;
 use crate::event::Event;
 use crate::id::Vm;
-use crate::platform::{Entry, KeyValue, Swap, Swapped, VmList};
+use crate::kv::{Entry, KeyValue, Swap, Swapped, VmList};
 use crate::view::{Member, Role, View};
 use crate::wire::{Body, limits};
 
--- a/src/clock.rs
+++ b/src/clock.rs
@@ -78,6 +78,20 @@
     }
 }
 
+/// The machine's clock since it booted. Unlike `Monotonic` it goes on while
+/// the machine is suspended, so deadlines that others rely on hold.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Boot;
+
+impl Clock for Boot {
+    fn now(&self) -> Time {
+        let read = nix::time::clock_gettime(nix::time::ClockId::CLOCK_BOOTTIME);
+        let since_boot = read.expect("Linux has a boot-time clock");
+        // Starts at one second so that `Time(0)` is always in the past.
+        Time(1_000_000).after(Duration::from(since_boot))
+    }
+}
+
 /// A clock moved by hand.
 #[derive(Clone, Debug, Default)]
 pub struct Manual {
--- a/src/config/write.rs
+++ b/src/config/write.rs
@@ -8,7 +8,7 @@
 use super::{Address, Held, Stored};
 use crate::config::resource::Spec;
 use crate::error::{Error, Kind, Result};
-use crate::platform::{Entry, Swap, Swapped};
+use crate::kv::{Entry, Swap, Swapped};
 
 /// Tries of a write that expects nothing in particular and meets others.
 const RACE_TRIES: u32 = 8;
--- a/src/control/follow.rs
+++ b/src/control/follow.rs
@@ -11,8 +11,8 @@
 use crate::error::{Error, Result};
 use crate::event::Event;
 use crate::id::{DataCentre, Vm};
+use crate::kv::{Entry, Listed, Notice, Swap};
 use crate::member::{TABLE_KEY, has_departed, vm_key};
-use crate::platform::{Entry, Listed, Notice, Swap};
 use crate::view::State;
 
 /// Time between readings of the VM list, by hubs.
--- a/src/control/register.rs
+++ b/src/control/register.rs
@@ -6,8 +6,8 @@
 
 use crate::error::{Kind, Result};
 use crate::id::Vm;
+use crate::kv::{KeyValue, LeaseId, Swap, Swapped};
 use crate::member::{Description, vm_key};
-use crate::platform::{KeyValue, LeaseId, Swap, Swapped};
 use crate::view::Member;
 
 use super::Platform;
--- a/src/control/settings.rs
+++ b/src/control/settings.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 
-use crate::platform::{Etcd, HttpVmList, KeyValue, VmList};
+use crate::kv::{Etcd, HttpVmList, KeyValue, VmList};
 use crate::settings;
 use crate::view::Role;
 
--- a/src/event/catalogue.rs
+++ b/src/event/catalogue.rs
@@ -44,8 +44,13 @@
     105 TaskFailed Error "a task failed and was restarted";
     106 SpanEnded Debug "span ended";
 
+    201 SettingsReloaded Info "settings read again";
+    202 SettingsRefused Error "changed settings are wrong, the old ones stay";
+
     301 PlatformLost Warning "the platform's service can't be reached";
     302 PlatformBack Info "the platform's service answers again";
+    303 StoreCallFailed Warning "a call to the platform's service failed";
+    304 EntryUnreadable Warning "an entry of the platform's service can't be read";
 
     401 ContactLost Warning "out of contact, keyed work is refused";
     402 ContactBack Info "in contact again";
@@ -56,6 +61,11 @@
     501 RequestFailed Info "request answered with an error";
     502 UpstreamDied Warning "an upstream died with requests in flight";
     503 RequestQuarantined Warning "a request is quarantined";
+    504 RequestServed Info "request answered";
+    505 StreamResumed Info "a stream goes on at another upstream";
+    506 UpstreamAdded Info "upstream added";
+    507 UpstreamRemoved Info "upstream removed";
+    508 UpstreamFailed Warning "an upstream failed and gets no requests for a while";
 
     601 SharesMoved Info "share table adopted";
 
@@ -64,6 +74,13 @@
     703 JobCancelled Info "job cancelled";
     704 ReplicaReplaced Info "segment replica replaced";
     705 DiskFailed Error "the data folder can't be used";
+    706 JobRepeated Info "a job was submitted again";
+    707 JobFinished Info "all results of a job are stored";
+    708 JobLost Info "a job isn't run here any more";
+    709 JobTaken Info "a job was taken over from a VM that is gone";
+    710 JobGivenUp Warning "the items left of a job are given up";
+    711 ItemEnded Info "an attempt to run an item ended";
+    712 RetirementReported Info "a storage VM is reported empty";
 
     801 OrderSent Info "order sent to an upstream";
     802 OrderRefused Warning "an upstream refused an order";
--- a/src/log/mod.rs
+++ b/src/log/mod.rs
@@ -6,12 +6,7 @@
 
 /// Builds the root logger.
 pub fn logger(settings: &settings::Log) -> Logger {
-    let level = match settings.level {
-        settings::Level::Error => Level::Error,
-        settings::Level::Warning => Level::Warning,
-        settings::Level::Info => Level::Info,
-        settings::Level::Debug => Level::Debug,
-    };
+    let level = level(settings);
     match settings.format {
         settings::Format::Terminal => {
             let decorator = slog_term::TermDecorator::new().stderr().build();
@@ -21,11 +16,27 @@
     }
 }
 
+/// Builds the root logger of a process whose lines are collected from its
+/// standard output, as JSON objects. Lines that find the queue full are
+/// dropped and counted, so a reader that is stuck holds nothing up.
+pub fn standard_output(settings: &settings::Log) -> Logger {
+    root(slog_json::Json::default(std::io::stdout()).fuse(), level(settings))
+}
+
 /// A logger that drops everything.
 pub fn silent() -> Logger {
     Logger::root(slog::Discard, o!())
 }
 
+fn level(settings: &settings::Log) -> Level {
+    match settings.level {
+        settings::Level::Error => Level::Error,
+        settings::Level::Warning => Level::Warning,
+        settings::Level::Info => Level::Info,
+        settings::Level::Debug => Level::Debug,
+    }
+}
+
 fn root<D>(drain: D, level: Level) -> Logger
 where
     D: Drain<Ok = (), Err = slog::Never> + Send + 'static,
--- a/src/member/simulate/service.rs
+++ b/src/member/simulate/service.rs
@@ -6,7 +6,7 @@
 
 use crate::clock::Time;
 use crate::id::{DataCentre, Vm};
-use crate::platform::{Entry, Range, Swap, Swapped};
+use crate::kv::{Entry, Range, Swap, Swapped};
 
 /// State of the platform.
 #[derive(Default)]
--- a/src/member/simulate/world.rs
+++ b/src/member/simulate/world.rs
@@ -18,8 +18,8 @@
 use crate::config::{Address, Delta, Expected, Held, Item, Step, Stored, Write};
 use crate::error;
 use crate::id::Vm;
+use crate::kv::{Entry, Range, Swap, Swapped};
 use crate::member::{Action, TABLE_KEY};
-use crate::platform::{Entry, Range, Swap, Swapped};
 
 /// Virtual time of one step.
 pub(super) const STEP: Duration = Duration::from_millis(50);
--- a/src/order/follow.rs
+++ b/src/order/follow.rs
@@ -18,7 +18,7 @@
 use crate::emit;
 use crate::event::Event;
 use crate::id::{Model, Upstream};
-use crate::platform::KeyValue;
+use crate::kv::KeyValue;
 use crate::view::{Role, State, View};
 
 /// Pause between rounds.
--- a/src/order/lease.rs
+++ b/src/order/lease.rs
@@ -6,7 +6,7 @@
 use crate::clock::{Clock, Time};
 use crate::error::{Kind, Result};
 use crate::id::{Model, Vm};
-use crate::platform::{Entry, KeyValue, LeaseId, Swap, Swapped};
+use crate::kv::{Entry, KeyValue, LeaseId, Swap, Swapped};
 
 /// Below the fleet's prefix; the model's name follows.
 const KEY_PREFIX: &str = "orders/";
--- /dev/null
+++ b/src/serve/dialect.rs
@@ -0,0 +1,146 @@
+//! How callers and upstreams spell what the serving path decides about.
+//!
+//! The platform's adapter implements `Dialect`; the serving path sees only the
+//! types of this module.
+
+use std::net::SocketAddr;
+
+use bytes::Bytes;
+use http::{HeaderMap, Method, StatusCode};
+
+use super::jobs::{Item, Listed};
+use crate::error::Result;
+use crate::id::{DataCentre, Organisation, Upstream};
+
+/// A caller's request as it arrived.
+#[derive(Clone, Debug)]
+pub struct Arrival {
+    /// HTTP method.
+    pub method: Method,
+    /// Path, as sent.
+    pub path: String,
+    /// Query, as sent.
+    pub query: Option<String>,
+    /// All headers.
+    pub headers: HeaderMap,
+    /// The whole body.
+    pub body: Bytes,
+}
+
+/// What a request's headers say.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Head {
+    /// The caller's identifier of this attempt.
+    pub request: Option<String>,
+    /// Host without port.
+    pub host: String,
+    /// Key that the caller showed.
+    pub key: Option<String>,
+    /// How long the caller waits, in milliseconds.
+    pub patience_ms: Option<u64>,
+    /// Last event that the caller already has.
+    pub last_event: Option<u64>,
+    /// Shared parts of the prompt, in order.
+    pub prompt: Vec<Part>,
+}
+
+/// One part of a prompt.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Part {
+    /// Its identifier.
+    pub id: u64,
+    /// Its length in tokens.
+    pub tokens: u32,
+}
+
+/// A call about jobs.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum JobCall {
+    /// Read results from a position on.
+    Results {
+        /// Which job.
+        job: String,
+        /// First position wanted.
+        after: usize,
+        /// How long the caller may be kept waiting for a result, in milliseconds.
+        wait_ms: u64,
+    },
+    /// Read the body of an item.
+    Body {
+        /// Which job.
+        job: String,
+        /// Which item.
+        item: String,
+    },
+    /// End a job.
+    End {
+        /// Which job.
+        job: String,
+    },
+}
+
+/// What is sent with a request to an upstream.
+#[derive(Clone, Debug)]
+pub struct Send<'a> {
+    /// The upstream that must run it.
+    pub upstream: &'a Upstream,
+    /// Organisation on whose behalf it runs.
+    pub organisation: Option<&'a Organisation>,
+    /// Time left until the caller's deadline, in milliseconds.
+    pub left_ms: u64,
+    /// Last event that is already there.
+    pub last_event: Option<u64>,
+}
+
+/// What an upstream's answer says about the request.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Verdict {
+    /// Whether the upstream says that it hasn't run the request and won't.
+    pub refused: bool,
+    /// Whether the answer names this request.
+    pub ours: bool,
+    /// Whether the answer is a stream of events.
+    pub events: bool,
+}
+
+/// Spelling of calls and headers.
+pub trait Dialect {
+    /// Reads a request's headers.
+    fn head(&self, headers: &HeaderMap) -> Head;
+
+    /// Reads a call about jobs, if the path belongs to one.
+    fn job_call(&self, arrival: &Arrival) -> Option<Result<JobCall>>;
+
+    /// Reads the items of a submitted job.
+    fn items(&self, body: &[u8]) -> Result<Vec<Item>>;
+
+    /// Writes one page of results; `next` is the position after the last.
+    fn results(&self, total: usize, next: usize, results: &[Listed]) -> Bytes;
+
+    /// Headers of a request to an upstream, without those of one connection.
+    fn upstream_headers(&self, caller: &HeaderMap, send: &Send<'_>) -> HeaderMap;
+
+    /// Headers of an item of a batch job.
+    fn item_headers(&self, host: &str, item: &Item, send: &Send<'_>) -> HeaderMap;
+
+    /// Reads an upstream's answer to the request named `request`.
+    fn verdict(&self, status: StatusCode, headers: &HeaderMap, request: &str) -> Verdict;
+
+    /// Headers of an upstream's answer that are passed on to the caller.
+    fn caller_headers(&self, upstream: &HeaderMap) -> HeaderMap;
+
+    /// Headers of an answer of our own.
+    fn own_headers(&self, request: Option<&str>) -> HeaderMap;
+
+    /// The caller's data centre in a query for addresses.
+    fn caller_data_centre(&self, query: &str) -> Option<DataCentre>;
+
+    /// Writes the answer to a query for addresses.
+    fn addresses(&self, addresses: &[SocketAddr], lifetime_ms: u64) -> Bytes;
+
+    /// Path that callers ask for addresses.
+    fn addresses_path(&self) -> &'static str;
+
+    /// Path of the readiness check.
+    fn readiness_path(&self) -> &'static str;
+}
--- /dev/null
+++ b/src/serve/fleet.rs
@@ -0,0 +1,211 @@
+//! What every part of the serving path is given.
+
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::Arc;
+
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use slog::Logger;
+use tokio::sync::Notify;
+
+use super::configuration::Configuration;
+use super::dialect::Dialect;
+use super::jobs::Pending;
+use super::member::{self, Member};
+use super::rate::{Ledger, Tolerance};
+use super::store::Store;
+use super::upstream::{Key, Table};
+use crate::clock::{Clock, Time};
+use crate::emit;
+use crate::event::Event;
+use crate::id::{Upstream, Vm};
+use crate::settings;
+use crate::transport::Pool;
+
+/// What this VM last learned from the store.
+#[derive(Default)]
+pub struct View {
+    /// The configuration; none before the first.
+    pub configuration: Option<Arc<Configuration>>,
+    /// Entry VMs.
+    pub members: Vec<member::Listed>,
+    /// Jobs that have items left, with the versions of their entries.
+    pub pending: HashMap<String, (Pending, u64)>,
+    /// When the last read that was answered was sent.
+    pub confirmed: Time,
+}
+
+/// The surroundings of the serving path; it runs on one thread.
+pub struct Fleet {
+    /// This VM.
+    pub member: Member,
+    /// Settings; replaced when they are read again.
+    pub settings: RefCell<Rc<settings::Serve>>,
+    /// Source of `now`; goes on while the VM is suspended.
+    pub clock: Arc<dyn Clock>,
+    /// Root logger.
+    pub log: Logger,
+    /// Connections to upstreams.
+    pub pool: Rc<Pool>,
+    /// The platform's key-value service.
+    pub store: Rc<dyn Store>,
+    /// Spelling of calls.
+    pub dialect: Rc<dyn Dialect>,
+    /// Upstreams.
+    pub table: RefCell<Table>,
+    /// What the store last said.
+    pub view: RefCell<View>,
+    /// Rates.
+    pub ledger: RefCell<Ledger>,
+    /// Whether a planned stop has begun.
+    pub stopping: Cell<bool>,
+    /// Told when this VM's load has changed.
+    pub load_changed: Notify,
+    /// Told when any load has changed, or an item may run.
+    pub work_changed: Notify,
+    random: RefCell<ChaCha8Rng>,
+}
+
+impl Fleet {
+    /// Makes the surroundings of a process that has just started.
+    pub fn new(
+        member: Member,
+        settings: settings::Serve,
+        clock: Arc<dyn Clock>,
+        log: Logger,
+        store: Rc<dyn Store>,
+        dialect: Rc<dyn Dialect>,
+    ) -> Rc<Self> {
+        let tolerance = Tolerance {
+            window_s: settings.bounds.rate_window_s,
+            overrun: settings.bounds.rate_overrun,
+            slack: settings.bounds.rate_slack,
+        };
+        let ledger = Ledger::new(member.vm.clone(), tolerance);
+        Rc::new(Self {
+            random: RefCell::new(ChaCha8Rng::seed_from_u64(member.incarnation)),
+            member,
+            settings: RefCell::new(Rc::new(settings)),
+            pool: Pool::new(clock.clone()),
+            clock,
+            log,
+            store,
+            dialect,
+            table: RefCell::default(),
+            view: RefCell::default(),
+            ledger: RefCell::new(ledger),
+            stopping: Cell::new(false),
+            load_changed: Notify::new(),
+            work_changed: Notify::new(),
+        })
+    }
+
+    /// This VM's name.
+    pub fn vm(&self) -> &Vm {
+        &self.member.vm
+    }
+
+    /// The present.
+    pub fn now(&self) -> Time {
+        self.clock.now()
+    }
+
+    /// A random number.
+    pub fn draw(&self) -> u64 {
+        self.random.borrow_mut().random()
+    }
+
+    /// The configuration, if one has been read.
+    pub fn configuration(&self) -> Option<Arc<Configuration>> {
+        self.view.borrow().configuration.clone()
+    }
+
+    /// Settings in force.
+    pub fn settings(&self) -> Rc<settings::Serve> {
+        self.settings.borrow().clone()
+    }
+
+    /// Until when the last answer of the store lets keyed requests run.
+    pub fn contact_until(&self) -> Time {
+        let bounds = self.settings().bounds;
+        self.view.borrow().confirmed.after(bounds.key_trust())
+    }
+
+    /// Whether keyed requests may run.
+    pub fn in_contact(&self) -> bool {
+        !self.contact_until().passed(self.now())
+    }
+
+    /// Takes a slot at an upstream for an online request.
+    pub fn occupy(self: &Rc<Self>, key: Key, use_: Use) -> Option<Slot> {
+        let mut table = self.table.borrow_mut();
+        let entry = table.get_mut(key)?;
+        match use_ {
+            Use::Online => entry.own.online += 1,
+            Use::Batch => entry.own.batch += 1,
+        }
+        let slot = Slot {
+            key,
+            use_,
+            upstream: entry.registration.upstream.clone(),
+            address: entry.registration.address,
+            fleet: self.clone(),
+        };
+        self.load_changed.notify_one();
+        self.work_changed.notify_one();
+        Some(slot)
+    }
+}
+
+/// What a slot is used for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Use {
+    /// An online request.
+    Online,
+    /// An item of a batch job.
+    Batch,
+}
+
+/// A slot at an upstream, counted until it is dropped.
+pub struct Slot {
+    /// The upstream in the table.
+    pub key: Key,
+    /// Its name.
+    pub upstream: Upstream,
+    /// Where it listens.
+    pub address: SocketAddr,
+    use_: Use,
+    fleet: Rc<Fleet>,
+}
+
+impl Slot {
+    /// Notes that the upstream failed.
+    pub fn failed(&self, reason: &str) {
+        let now = self.fleet.now();
+        let until = self.fleet.table.borrow_mut().failed(self.key, now);
+        let pause_ms = until.map_or(0, |until| now.until(until).as_millis() as u64);
+        emit!(self.fleet.log, Event::UpstreamFailed, "upstream" => self.upstream.as_str(),
+            "address" => self.address.to_string(), "reason" => reason, "pause_ms" => pause_ms);
+    }
+
+    /// Notes that the first event came after this many milliseconds.
+    pub fn answered(&self, first_event_ms: f64) {
+        self.fleet.table.borrow_mut().answered(self.key, first_event_ms);
+    }
+}
+
+impl Drop for Slot {
+    fn drop(&mut self) {
+        if let Some(entry) = self.fleet.table.borrow_mut().get_mut(self.key) {
+            match self.use_ {
+                Use::Online => entry.own.online -= 1,
+                Use::Batch => entry.own.batch -= 1,
+            }
+        }
+        self.fleet.load_changed.notify_one();
+        self.fleet.work_changed.notify_one();
+    }
+}
--- /dev/null
+++ b/src/serve/follow.rs
@@ -0,0 +1,297 @@
+//! Following the store: configuration, upstreams, members, open jobs.
+//!
+//! One read a poll shows everything. A watch isn't used: it may be deaf for a
+//! while without saying so, and a confirmation must be a fresh answer anyway.
+
+use std::collections::HashMap;
+use std::rc::Rc;
+use std::time::Duration;
+
+use super::fleet::Fleet;
+use super::jobs::{Jobs, PENDING_PREFIX, Pending};
+use super::member::{self, MEMBER_PREFIX, Member, owner};
+use super::peers::{GONE, Peers};
+use super::store::{Commit, Expectation, Snapshot, Transaction};
+use crate::clock::Time;
+use crate::emit;
+use crate::error::Result;
+use crate::event::Event;
+use crate::kv::Entry;
+
+/// First pause after a read that failed.
+const RETRY: Duration = Duration::from_millis(100);
+/// Longest pause after reads that failed.
+const MAX_RETRY: Duration = Duration::from_millis(500);
+/// Time without an answer after which the store counts as having been away.
+const OUTAGE: Duration = Duration::from_millis(2_000);
+
+/// Follows the store.
+pub struct Follower {
+    fleet: Rc<Fleet>,
+    peers: Rc<Peers>,
+    jobs: Rc<Jobs>,
+    state: std::cell::RefCell<State>,
+}
+
+#[derive(Default)]
+struct State {
+    /// Whether this process has written its own entry.
+    registered: bool,
+    /// Whether the entry of an earlier run stood at the first read.
+    inherited: bool,
+    lost: bool,
+    in_contact: bool,
+}
+
+impl Follower {
+    /// Follows the store for `fleet`.
+    pub fn new(fleet: Rc<Fleet>, peers: Rc<Peers>, jobs: Rc<Jobs>) -> Rc<Self> {
+        Rc::new(Self { fleet, peers, jobs, state: Default::default() })
+    }
+
+    /// Reads the store for ever.
+    pub async fn run(self: Rc<Self>) {
+        let mut pause = RETRY;
+        loop {
+            let asked = self.fleet.now();
+            match self.fleet.store.snapshot().await {
+                Ok(snapshot) => {
+                    self.adopt(snapshot, asked).await;
+                    pause = RETRY;
+                    let poll = self.fleet.settings().bounds.poll();
+                    tokio::time::sleep(self.fleet.now().until(asked.after(poll))).await;
+                }
+                Err(error) => {
+                    self.note_lost(&error.detail);
+                    tokio::time::sleep(pause).await;
+                    pause = (pause * 2).min(MAX_RETRY);
+                }
+            }
+            self.note_contact();
+            self.fleet.pool.sweep();
+        }
+    }
+
+    fn note_lost(&self, reason: &str) {
+        let mut state = self.state.borrow_mut();
+        if !std::mem::replace(&mut state.lost, true) {
+            let age = self.fleet.view.borrow().confirmed.until(self.fleet.now());
+            emit!(self.fleet.log, Event::PlatformLost, "reason" => reason,
+                "last_answer_ms" => age.as_millis() as u64);
+        }
+    }
+
+    fn note_contact(&self) {
+        let in_contact = self.fleet.in_contact();
+        let mut state = self.state.borrow_mut();
+        if std::mem::replace(&mut state.in_contact, in_contact) == in_contact {
+            return;
+        }
+        let event = if in_contact { Event::ContactBack } else { Event::ContactLost };
+        let age = self.fleet.view.borrow().confirmed.until(self.fleet.now());
+        emit!(self.fleet.log, event, "last_answer_ms" => age.as_millis() as u64);
+        drop(state);
+        self.fleet.load_changed.notify_one();
+    }
+
+    async fn adopt(&self, snapshot: Snapshot, asked: Time) {
+        let now = self.fleet.now();
+        if std::mem::replace(&mut self.state.borrow_mut().lost, false) {
+            emit!(self.fleet.log, Event::PlatformBack, "took_ms" => asked.until(now).as_millis() as u64);
+        }
+        for reason in &snapshot.unreadable {
+            emit!(self.fleet.log, Event::EntryUnreadable, "reason" => reason.as_str());
+        }
+        self.adopt_upstreams(&snapshot, asked, now);
+        self.adopt_configuration(&snapshot);
+        self.adopt_shared(&snapshot.shared, asked, now);
+        self.peers.recount();
+        self.jobs.reconcile(asked);
+        if let Err(error) = self.tend(&snapshot).await {
+            emit!(self.fleet.log, Event::StoreCallFailed, "reason" => error.detail.as_str());
+        }
+    }
+
+    fn adopt_upstreams(&self, snapshot: &Snapshot, asked: Time, now: Time) {
+        let last = self.fleet.view.borrow().confirmed;
+        let outage = last != Time(0) && last.after(OUTAGE).passed(asked);
+        let (added, removed) =
+            self.fleet.table.borrow_mut().replace(&snapshot.upstreams, outage, now);
+        for upstream in added {
+            emit!(self.fleet.log, Event::UpstreamAdded, "upstream" => upstream.as_str());
+        }
+        for upstream in removed {
+            emit!(self.fleet.log, Event::UpstreamRemoved, "upstream" => upstream.as_str());
+        }
+    }
+
+    fn adopt_configuration(&self, snapshot: &Snapshot) {
+        let Some(read) = &snapshot.configuration else { return };
+        let mut view = self.fleet.view.borrow_mut();
+        let held = view.configuration.as_ref().map(|held| held.version);
+        if held.is_some_and(|held| held >= read.version) {
+            return;
+        }
+        view.configuration = Some(read.clone());
+        emit!(self.fleet.log, Event::ConfigurationAdopted, "version" => read.version,
+            "before" => held.unwrap_or(0));
+    }
+
+    fn adopt_shared(&self, entries: &[Entry], asked: Time, now: Time) {
+        let mut members = Vec::new();
+        let mut pending = HashMap::new();
+        for entry in entries {
+            if entry.key.starts_with(MEMBER_PREFIX) {
+                match Member::decode(entry) {
+                    Ok(member) => members.push(member::Listed { member, version: entry.version }),
+                    Err(error) => emit!(self.fleet.log, Event::EntryUnreadable,
+                        "reason" => error.detail.as_str()),
+                }
+            } else if let Some(job) = entry.key.strip_prefix(PENDING_PREFIX) {
+                match prost::Message::decode(entry.value.as_slice()) {
+                    Ok(read) => {
+                        let read: Pending = read;
+                        pending.insert(job.to_owned(), (read, entry.version));
+                    }
+                    Err(error) => emit!(self.fleet.log, Event::EntryUnreadable,
+                        "reason" => format!("{}: {error}", entry.key)),
+                }
+            }
+        }
+        let mut state = self.state.borrow_mut();
+        if !state.registered {
+            let vm = self.fleet.vm();
+            state.inherited |= members.iter().any(|listed| {
+                &listed.member.vm == vm
+                    && listed.member.incarnation != self.fleet.member.incarnation
+            });
+        }
+        self.note_members(&members);
+        let mut view = self.fleet.view.borrow_mut();
+        view.members = members;
+        view.pending = pending;
+        view.confirmed = view.confirmed.max(asked);
+        let Some(configuration) = view.configuration.clone() else { return };
+        if state.registered {
+            let mut ledger = self.fleet.ledger.borrow_mut();
+            ledger.update(&view.members, configuration.tenants(), state.inherited, asked, now);
+        }
+    }
+
+    fn note_members(&self, members: &[member::Listed]) {
+        let view = self.fleet.view.borrow();
+        let name = |listed: &member::Listed| (listed.member.vm.clone(), listed.member.incarnation);
+        let before: Vec<_> = view.members.iter().map(name).collect();
+        let after: Vec<_> = members.iter().map(name).collect();
+        for (vm, incarnation) in after.iter().filter(|name| !before.contains(name)) {
+            emit!(self.fleet.log, Event::MemberJoined, "member" => vm.as_str(),
+                "incarnation" => format!("{incarnation:x}"));
+        }
+        for (vm, incarnation) in before.iter().filter(|name| !after.contains(name)) {
+            emit!(self.fleet.log, Event::MemberLost, "member" => vm.as_str(),
+                "incarnation" => format!("{incarnation:x}"));
+        }
+    }
+
+    /// Does what falls to this VM: its own entry, entries of VMs that are gone,
+    /// reports on storage VMs that are to be emptied.
+    async fn tend(&self, snapshot: &Snapshot) -> Result<()> {
+        if self.fleet.stopping.get() {
+            return Ok(());
+        }
+        self.register().await?;
+        self.remove_gone().await?;
+        for retirement in snapshot.retirements.iter().filter(|order| !order.reported) {
+            if self.falls_to_us(retirement.vm.as_str()) {
+                self.fleet.store.report_retired(&retirement.vm).await?;
+                emit!(self.fleet.log, Event::RetirementReported, "vm_retired" => retirement.vm.as_str());
+            }
+        }
+        Ok(())
+    }
+
+    fn falls_to_us(&self, name: &str) -> bool {
+        let view = self.fleet.view.borrow();
+        owner(&view.members, name).is_some_and(|member| &member.vm == self.fleet.vm())
+    }
+
+    async fn register(&self) -> Result<()> {
+        let own = self.own_entry();
+        if own.as_ref().is_some_and(|listed| listed.member == self.fleet.member) {
+            self.state.borrow_mut().registered = true;
+            return Ok(());
+        }
+        if self.state.borrow().registered && !self.peers.hears_most() {
+            return Ok(());
+        }
+        let version = own.map_or(0, |listed| listed.version);
+        let key = Member::key_of(self.fleet.vm());
+        let transaction = Transaction {
+            expected: vec![Expectation { key: key.clone(), version }],
+            puts: vec![(key, self.fleet.member.encode())],
+            deletes: Vec::new(),
+        };
+        if let Commit::Applied(_) = self.fleet.store.commit(transaction).await? {
+            self.state.borrow_mut().registered = true;
+        }
+        Ok(())
+    }
+
+    fn own_entry(&self) -> Option<member::Listed> {
+        let view = self.fleet.view.borrow();
+        view.members.iter().find(|listed| &listed.member.vm == self.fleet.vm()).cloned()
+    }
+
+    async fn remove_gone(&self) -> Result<()> {
+        if !self.peers.hears_most() {
+            return Ok(());
+        }
+        let gone: Vec<member::Listed> = {
+            let view = self.fleet.view.borrow();
+            let others = view.members.iter().filter(|listed| &listed.member.vm != self.fleet.vm());
+            others.filter(|listed| self.peers.silent(&listed.member.vm, GONE)).cloned().collect()
+        };
+        for listed in gone {
+            if !self.removes(&listed.member) {
+                continue;
+            }
+            let key = Member::key_of(&listed.member.vm);
+            let transaction = Transaction {
+                expected: vec![Expectation { key: key.clone(), version: listed.version }],
+                puts: Vec::new(),
+                deletes: vec![key],
+            };
+            self.fleet.store.commit(transaction).await?;
+        }
+        Ok(())
+    }
+
+    /// Whether this VM is the one that removes `gone`: the first of the VMs that are heard.
+    fn removes(&self, gone: &Member) -> bool {
+        let view = self.fleet.view.borrow();
+        let heard: Vec<member::Listed> = view
+            .members
+            .iter()
+            .filter(|listed| {
+                let vm = &listed.member.vm;
+                vm == self.fleet.vm() || !self.peers.silent(vm, GONE)
+            })
+            .cloned()
+            .collect();
+        owner(&heard, gone.vm.as_str()).is_some_and(|member| &member.vm == self.fleet.vm())
+    }
+
+    /// Says in the store that this VM is leaving, or removes its entry.
+    pub async fn leave(&self, remove: bool) -> Result<()> {
+        let Some(own) = self.own_entry() else { return Ok(()) };
+        let key = Member::key_of(self.fleet.vm());
+        let expected = vec![Expectation { key: key.clone(), version: own.version }];
+        let member = Member { leaving: true, ..self.fleet.member.clone() };
+        let transaction = if remove {
+            Transaction { expected: Vec::new(), puts: Vec::new(), deletes: vec![key] }
+        } else {
+            Transaction { expected, puts: vec![(key, member.encode())], deletes: Vec::new() }
+        };
+        self.fleet.store.commit(transaction).await.map(|_| ())
+    }
+}
--- /dev/null
+++ b/src/serve/jobs/calls.rs
@@ -0,0 +1,183 @@
+//! Callers' calls about jobs.
+
+use std::collections::HashSet;
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::StatusCode;
+
+use super::record::{Head, Listed};
+use super::shell::{Jobs, unix_ms};
+use crate::error::{Error, Kind, Result};
+use crate::id::Organisation;
+use crate::serve::configuration::Route;
+use crate::serve::dialect::{self, Arrival, JobCall};
+use crate::serve::exchange::{Body, Reply, configuration, identify};
+use crate::serve::peers::Peers;
+
+/// Most bytes of results in one answer.
+const MAX_PAGE_BYTES: usize = 1_000_000;
+/// Most items of one job.
+const MAX_ITEMS: usize = 200;
+/// Longest time that a reader is kept waiting.
+const MAX_WAIT: Duration = Duration::from_millis(1_000);
+/// Time after which a reader's VM asks the store once more for results.
+const REREAD: Duration = Duration::from_millis(900);
+/// Wait named to callers while the store can't be reached.
+const STORE_RETRY: Duration = Duration::from_millis(500);
+
+impl Jobs {
+    /// Accepts a job that was submitted on a batch route.
+    pub async fn submitted(
+        self: &Rc<Self>,
+        arrival: &Arrival,
+        head: &dialect::Head,
+        route: &Route,
+    ) -> Result<Reply> {
+        let configuration = configuration(&self.fleet)?;
+        let tenant = identify(&self.fleet, &configuration, head, route.anonymous)?;
+        let organisation = tenant.map(|tenant| tenant.organisation.to_string());
+        let job = head.request.as_deref();
+        let job = job.ok_or_else(|| Error::new(Kind::Malformed, "the job has no identifier"))?;
+        let items = self.fleet.dialect.items(&arrival.body)?;
+        let names: HashSet<&str> = items.iter().map(|item| item.id.as_str()).collect();
+        if items.is_empty() || items.len() > MAX_ITEMS || names.len() != items.len() {
+            let detail = format!("a job has 1 to {MAX_ITEMS} items with names of their own");
+            return Err(Error::new(Kind::Malformed, detail));
+        }
+        if self.fleet.stopping.get() {
+            let detail = "this VM is leaving; use another one";
+            return Err(Error::new(Kind::Leaving, detail).retry_after(STORE_RETRY));
+        }
+        let stored = Head {
+            organisation: organisation.unwrap_or_default(),
+            host: head.host.clone(),
+            path: arrival.path.clone(),
+            accepted_unix_ms: unix_ms(),
+            total: 0,
+            chunks: 0,
+        };
+        // Goes on when the caller leaves: the job may be accepted already.
+        let (jobs, job, route) = (self.clone(), job.to_owned(), route.clone());
+        let accepting =
+            actix_rt::spawn(async move { jobs.submit(&job, stored, items, &route).await });
+        let broken = |_| Err(Error::new(Kind::Internal, "the call was dropped"));
+        accepting.await.unwrap_or_else(broken)?;
+        Ok(self.reply(StatusCode::ACCEPTED, head, Bytes::new()))
+    }
+
+    /// Answers a call about a job.
+    pub async fn called(
+        self: &Rc<Self>,
+        call: JobCall,
+        head: &dialect::Head,
+        peers: &Peers,
+    ) -> Result<Reply> {
+        let configuration = configuration(&self.fleet)?;
+        let tenant = identify(&self.fleet, &configuration, head, false)?;
+        let organisation = tenant.map(|tenant| &tenant.organisation);
+        let answer = match call {
+            JobCall::Results { job, after, wait_ms } => {
+                self.check_reader(&job, organisation).await?;
+                let wait = Duration::from_millis(wait_ms).min(MAX_WAIT);
+                self.read(&job, after, wait).await?
+            }
+            JobCall::Body { job, item } => {
+                self.check_reader(&job, organisation).await?;
+                self.body(&job, &item).await?
+            }
+            JobCall::End { job } => {
+                self.check_reader(&job, organisation).await?;
+                let owner = self.owner_of(&job);
+                if !self.end(&job).await.map_err(retry)? {
+                    return Err(unknown(&job));
+                }
+                if let Some(owner) = owner {
+                    peers.say_changed(&owner, &job);
+                }
+                Bytes::new()
+            }
+        };
+        Ok(self.reply(StatusCode::OK, head, answer))
+    }
+
+    fn owner_of(&self, job: &str) -> Option<String> {
+        let view = self.fleet.view.borrow();
+        view.pending.get(job).map(|(pending, _)| pending.owner.clone())
+    }
+
+    /// Only the organisation that submitted a job may see it.
+    async fn check_reader(&self, job: &str, organisation: Option<&Organisation>) -> Result<()> {
+        let holder = match self.owned_organisation(job) {
+            Some(holder) => Some(holder),
+            None => self.archive.head(job).await.map_err(retry)?.map(|head| head.organisation),
+        };
+        let reader = organisation.map_or("", Organisation::as_str);
+        match holder {
+            Some(holder) if holder == reader => Ok(()),
+            _ => Err(unknown(job)),
+        }
+    }
+
+    /// Results from a position on; waits for the first if there is none.
+    async fn read(&self, job: &str, after: usize, wait: Duration) -> Result<Bytes> {
+        let until = self.fleet.now().after(wait);
+        loop {
+            let left = self.fleet.now().until(until);
+            if let Some((total, results, listed)) = self.owned_results(job) {
+                if results.len() > after || results.len() == total || left.is_zero() {
+                    return Ok(self.page(total, after, &results));
+                }
+                let _ = tokio::time::timeout(left, listed.notified()).await;
+                continue;
+            }
+            let head = self.archive.head(job).await.map_err(retry)?.ok_or_else(|| unknown(job))?;
+            let results = self.archive.results(job).await.map_err(retry)?;
+            let total = head.total as usize;
+            let left = self.fleet.now().until(until);
+            if results.len() > after || results.len() == total || left.is_zero() {
+                return Ok(self.page(total, after, &results));
+            }
+            tokio::time::sleep(left.min(REREAD)).await;
+        }
+    }
+
+    fn page(&self, total: usize, after: usize, results: &[Listed]) -> Bytes {
+        let rest = results.get(after..).unwrap_or_default();
+        let mut bytes = 0;
+        let fits = |listed: &&Listed| {
+            bytes += listed.output.len() + listed.item.len();
+            bytes <= MAX_PAGE_BYTES
+        };
+        let count = rest.iter().take_while(fits).count().max(rest.len().min(1));
+        self.fleet.dialect.results(total, after + count, &rest[..count])
+    }
+
+    async fn body(&self, job: &str, item: &str) -> Result<Bytes> {
+        if let Some(body) = self.owned_body(job, item) {
+            return Ok(body);
+        }
+        let spec = self.archive.spec(job).await.map_err(retry)?;
+        let found = spec.items.iter().find(|stored| stored.id == item);
+        let missing = || Error::new(Kind::NotFound, format!("job {job} has no item {item}"));
+        found.map(|stored| stored.body.clone()).ok_or_else(missing)
+    }
+
+    fn reply(&self, status: StatusCode, head: &dialect::Head, body: Bytes) -> Reply {
+        let headers = self.fleet.dialect.own_headers(head.request.as_deref());
+        Reply { status, headers, body: Body::Whole(body) }
+    }
+}
+
+fn unknown(job: &str) -> Error {
+    Error::new(Kind::NotFound, format!("there is no job {job}"))
+}
+
+/// Says when to come back after a read that failed.
+fn retry(error: Error) -> Error {
+    match error.kind {
+        Kind::PlatformUnavailable => error.retry_after(STORE_RETRY),
+        _ => error,
+    }
+}
--- /dev/null
+++ b/src/serve/jobs/mod.rs
@@ -0,0 +1,29 @@
+//! Batch jobs, kept in the platform's key-value service.
+//!
+//! | key | value | written |
+//! |---|---|---|
+//! | `job/ID/head` | organisation, number of items | once, when it is accepted |
+//! | `job/ID/spec/N` | its items, in chunks | with the head |
+//! | `job/ID/result/N` | the result at position N | once, when it is listed |
+//! | `job/ID/ended` | empty | once, when its caller ends it |
+//! | `pending/ID` | owner, size | while items are left |
+//!
+//! The VM that accepts a job owns it and runs its items. Every result is
+//! written under the condition that `pending/ID` is as the owner last saw it,
+//! so a VM that lost the job to another, or a job that was ended, takes no
+//! further results. A position exists once it is written, and never changes.
+
+mod archive;
+mod calls;
+mod dispatch;
+mod owner;
+mod record;
+mod run;
+mod shell;
+mod takeover;
+
+pub use archive::Archive;
+pub use owner::{Job, Next, Settled, State, Stored, Times};
+pub use record::{Head, Header, Item, Listed, Outcome, PENDING_PREFIX, Pending, Spec};
+pub use run::{Ended, Progress};
+pub use shell::Jobs;
--- /dev/null
+++ b/src/serve/jobs/owner.rs
@@ -0,0 +1,240 @@
+//! One job at the VM that owns it: which items are left, which results stand.
+//!
+//! Items wait, run, are done, and are listed once their result is stored. The
+//! results of one write are fixed when it is first sent: a write whose outcome
+//! is unknown is sent again unchanged until it is known.
+
+use std::time::Duration;
+
+use super::record::{Head, Listed, Outcome, Spec};
+use super::run::{Ended, Progress};
+use crate::clock::Time;
+
+/// Wait before an item that failed is tried again.
+const RETRY_AFTER_FAILURE: Duration = Duration::from_millis(200);
+/// Wait before an item whose upstream broke off is tried again.
+const RETRY_AFTER_BREAK: Duration = Duration::from_millis(100);
+/// Longest wait between attempts.
+const MAX_RETRY: Duration = Duration::from_secs(3);
+/// Most results in one write.
+const MAX_RESULTS: usize = 16;
+/// Most bytes of results in one write.
+const MAX_RESULT_BYTES: usize = 700_000;
+
+/// Where an item stands.
+#[derive(Clone, Debug, PartialEq)]
+pub enum State {
+    /// It waits for an upstream.
+    Waiting {
+        /// It isn't tried before this time.
+        not_before: Time,
+        /// What it has of earlier attempts.
+        progress: Progress,
+    },
+    /// It runs.
+    Running,
+    /// Its result isn't stored yet.
+    Done(Listed),
+    /// Its result is stored.
+    Listed,
+}
+
+/// The next item to run.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Next {
+    /// Its index in the spec.
+    pub index: usize,
+    /// What it has of earlier attempts.
+    pub progress: Progress,
+}
+
+/// What a stored write means for the job.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Settled {
+    /// Items are left.
+    Open,
+    /// All results are stored.
+    Finished,
+}
+
+/// What is stored of a job.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Stored {
+    /// What is known of it for good.
+    pub head: Head,
+    /// Its items.
+    pub spec: Spec,
+    /// Its results, by position.
+    pub results: Vec<Listed>,
+}
+
+/// Times of a job on this VM's clock.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Times {
+    /// When it was accepted or taken over here.
+    pub held_since: Time,
+    /// Its items should be done by this time.
+    pub due: Time,
+    /// Its items are given up after this time.
+    pub give_up: Time,
+}
+
+/// A job that this VM owns.
+pub struct Job {
+    /// Its identifier.
+    pub id: String,
+    /// What is known of it for good.
+    pub head: Head,
+    /// Its items.
+    pub spec: Spec,
+    /// When it was accepted or taken over here.
+    pub held_since: Time,
+    /// Version of its pending entry; results are stored only while it stands.
+    pub fence: u64,
+    /// Its items are given up after this time.
+    pub give_up: Time,
+    /// Its items should be done by this time.
+    pub due: Time,
+    /// Stored results, by position.
+    pub results: Vec<Listed>,
+    states: Vec<State>,
+    breaks: Vec<u32>,
+    writing: Option<Vec<Listed>>,
+}
+
+impl Job {
+    /// A job with the results that are already stored.
+    pub fn new(id: String, stored: Stored, fence: u64, times: Times) -> Self {
+        let Stored { head, spec, results } = stored;
+        let Times { held_since, due, give_up } = times;
+        let waiting = State::Waiting { not_before: Time(0), progress: Progress::default() };
+        let mut states = vec![waiting; spec.items.len()];
+        for result in &results {
+            if let Some(index) = spec.items.iter().position(|item| item.id == result.item) {
+                states[index] = State::Listed;
+            }
+        }
+        let breaks = vec![0; spec.items.len()];
+        Self {
+            id,
+            head,
+            spec,
+            held_since,
+            fence,
+            give_up,
+            due,
+            results,
+            states,
+            breaks,
+            writing: None,
+        }
+    }
+
+    /// Takes the first item that may run at `now`.
+    pub fn start(&mut self, now: Time) -> Option<Next> {
+        let ready = |state: &State| matches!(state, State::Waiting { not_before, .. } if not_before.passed(now));
+        let index = self.states.iter().position(ready)?;
+        let state = std::mem::replace(&mut self.states[index], State::Running);
+        let State::Waiting { progress, .. } = state else { return None };
+        Some(Next { index, progress })
+    }
+
+    /// Whether an item may run at `now`.
+    pub fn has_ready(&self, now: Time) -> bool {
+        self.states.iter().any(
+            |state| matches!(state, State::Waiting { not_before, .. } if not_before.passed(now)),
+        )
+    }
+
+    /// Items whose result isn't stored yet.
+    pub fn left(&self) -> usize {
+        self.states.iter().filter(|state| **state != State::Listed).count()
+    }
+
+    /// Tokens of items that aren't done.
+    pub fn tokens_left(&self) -> u64 {
+        let waits = |state: &State| matches!(state, State::Waiting { .. } | State::Running);
+        let items = self.spec.items.iter().zip(&self.states);
+        items.filter(|(_, state)| waits(state)).map(|(item, _)| item.tokens).sum()
+    }
+
+    /// Takes the end of an attempt. `max_attempts` bounds the upstream's own failures.
+    pub fn ended(&mut self, index: usize, ended: Ended, max_attempts: u32, now: Time) {
+        let item = self.spec.items[index].id.clone();
+        let done = |outcome: Outcome, output: String| {
+            State::Done(Listed { item: item.clone(), outcome: outcome as i32, output })
+        };
+        self.states[index] = match ended {
+            Ended::Completed(output) => done(Outcome::Completed, output),
+            Ended::Impossible => done(Outcome::DeadLetter, String::new()),
+            Ended::Failed(progress) if progress.failures >= max_attempts => {
+                done(Outcome::DeadLetter, String::new())
+            }
+            Ended::Failed(progress) => {
+                State::Waiting { not_before: now.after(RETRY_AFTER_FAILURE), progress }
+            }
+            Ended::Interrupted(progress) => State::Waiting { not_before: now, progress },
+            Ended::Broken(progress) => {
+                self.breaks[index] += 1;
+                let wait = RETRY_AFTER_BREAK.saturating_mul(1 << self.breaks[index].min(5));
+                State::Waiting { not_before: now.after(wait.min(MAX_RETRY)), progress }
+            }
+        };
+    }
+
+    /// Gives up all items that wait; false if none did.
+    pub fn give_up_waiting(&mut self) -> bool {
+        let mut any = false;
+        for (item, state) in self.spec.items.iter().zip(&mut self.states) {
+            if matches!(state, State::Waiting { .. }) {
+                let outcome = Outcome::DeadLetter as i32;
+                let output = String::new();
+                *state = State::Done(Listed { item: item.id.clone(), outcome, output });
+                any = true;
+            }
+        }
+        any
+    }
+
+    /// The results to store next, with the position of the first. The same
+    /// ones until `stored` or `dropped` is told.
+    pub fn write(&mut self) -> Option<(usize, Vec<Listed>)> {
+        if self.writing.is_none() {
+            let mut bytes = 0;
+            let mut batch = Vec::new();
+            for state in &self.states {
+                let State::Done(listed) = state else { continue };
+                bytes += listed.output.len();
+                if batch.len() == MAX_RESULTS || (bytes > MAX_RESULT_BYTES && !batch.is_empty()) {
+                    break;
+                }
+                batch.push(listed.clone());
+            }
+            self.writing = (!batch.is_empty()).then_some(batch);
+        }
+        self.writing.clone().map(|batch| (self.results.len(), batch))
+    }
+
+    /// Whether the write under way stores the last results.
+    pub fn finishes(&self) -> bool {
+        let writing = self.writing.as_ref().map_or(0, Vec::len);
+        self.results.len() + writing == self.spec.items.len()
+    }
+
+    /// The write under way is stored.
+    pub fn stored(&mut self) -> Settled {
+        for listed in self.writing.take().unwrap_or_default() {
+            let index = self.spec.items.iter().position(|item| item.id == listed.item);
+            let index = index.expect("a result belongs to an item");
+            self.states[index] = State::Listed;
+            self.results.push(listed);
+        }
+        assert!(self.results.len() <= self.spec.items.len(), "more results than items");
+        if self.left() == 0 { Settled::Finished } else { Settled::Open }
+    }
+
+    /// The body of an item, by its identifier.
+    pub fn item(&self, id: &str) -> Option<&super::Item> {
+        self.spec.items.iter().find(|item| item.id == id)
+    }
+}
--- /dev/null
+++ b/src/serve/jobs/run.rs
@@ -0,0 +1,180 @@
+//! One attempt to run an item at one upstream.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::{Method, Request, StatusCode};
+use http_body_util::Full;
+use tokio::sync::Notify;
+
+use super::record::{Head, Item};
+use crate::id::Organisation;
+use crate::serve::dialect::Send;
+use crate::serve::event::Splitter;
+use crate::serve::fleet::{Fleet, Slot};
+use crate::transport::Answer;
+
+/// Time without a byte after which an attempt is given up.
+const SILENCE: Duration = Duration::from_millis(2_500);
+/// Bound on connecting to an upstream.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
+/// Time that an upstream is given for one item, in milliseconds.
+const ITEM_TIME_MS: u64 = 30_000;
+
+/// What earlier attempts brought.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Progress {
+    /// Data of the events so far.
+    pub events: Vec<String>,
+    /// Identifier of the last of them.
+    pub last: Option<u64>,
+    /// Times that an upstream failed the item.
+    pub failures: u32,
+}
+
+/// How an attempt ended.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Ended {
+    /// The whole output is there.
+    Completed(String),
+    /// The upstream says that the item can never be done.
+    Impossible,
+    /// The upstream failed the item.
+    Failed(Progress),
+    /// Online requests needed the slot.
+    Interrupted(Progress),
+    /// The upstream refused, broke off or fell silent.
+    Broken(Progress),
+}
+
+impl Ended {
+    /// A word for logs.
+    pub fn as_str(&self) -> &'static str {
+        match self {
+            Ended::Completed(_) => "completed",
+            Ended::Impossible => "impossible",
+            Ended::Failed(_) => "failed",
+            Ended::Interrupted(_) => "interrupted",
+            Ended::Broken(_) => "broken",
+        }
+    }
+}
+
+/// Runs an item in a slot until it ends or is interrupted.
+pub(super) async fn run(
+    fleet: &Rc<Fleet>,
+    slot: Slot,
+    head: &Head,
+    item: &Item,
+    progress: Progress,
+    interrupt: &Notify,
+) -> Ended {
+    let mut attempt = Attempt { fleet, slot, head, item, progress };
+    // Events that arrived in time are kept when the slot is taken away.
+    let ended = tokio::select! {
+        biased;
+        _ = interrupt.notified() => None,
+        ended = attempt.run() => Some(ended),
+    };
+    let progress = std::mem::take(&mut attempt.progress);
+    match ended {
+        None => Ended::Interrupted(progress),
+        Some(End::Whole) => Ended::Completed(progress.events.join("\n")),
+        Some(End::Impossible) => Ended::Impossible,
+        Some(End::Failed) => {
+            Ended::Failed(Progress { failures: progress.failures + 1, ..progress })
+        }
+        Some(End::Broken) => Ended::Broken(progress),
+    }
+}
+
+enum End {
+    Whole,
+    Impossible,
+    Failed,
+    Broken,
+}
+
+struct Attempt<'a> {
+    fleet: &'a Rc<Fleet>,
+    slot: Slot,
+    head: &'a Head,
+    item: &'a Item,
+    progress: Progress,
+}
+
+impl Attempt<'_> {
+    async fn run(&mut self) -> End {
+        let send = self.fleet.pool.send(self.slot.address, self.request(), CONNECT_TIMEOUT);
+        let answer = match tokio::time::timeout(SILENCE, send).await {
+            Ok(Ok(answer)) => answer,
+            Ok(Err(failure)) => return self.broken(&failure.to_string()),
+            Err(_) => return self.broken("no answer"),
+        };
+        let verdict = self.fleet.dialect.verdict(answer.status, &answer.headers, &self.item.id);
+        if verdict.refused {
+            return End::Broken;
+        }
+        if !verdict.ours {
+            return self.broken("the answer belongs to another request");
+        }
+        match answer.status {
+            StatusCode::OK => self.read(answer).await,
+            StatusCode::UNPROCESSABLE_ENTITY => End::Impossible,
+            StatusCode::INTERNAL_SERVER_ERROR => End::Failed,
+            _ => End::Broken,
+        }
+    }
+
+    async fn read(&mut self, mut answer: Answer) -> End {
+        let mut splitter = Splitter::new(self.progress.last);
+        let before = self.progress.last;
+        loop {
+            let piece = match tokio::time::timeout(SILENCE, answer.body.next()).await {
+                Ok(Ok(Some(piece))) => piece,
+                Ok(Ok(None)) => break,
+                Ok(Err(failure)) => return self.broken(&failure.to_string()),
+                Err(_) => return self.broken("the stream fell silent"),
+            };
+            splitter.push(&piece);
+            loop {
+                match splitter.pop() {
+                    Ok(Some(event)) => {
+                        self.progress.events.push(event.data());
+                        self.progress.last = Some(event.id);
+                    }
+                    Ok(None) => break,
+                    Err(fault) => return self.broken(&fault.to_string()),
+                }
+            }
+        }
+        match splitter.finish() {
+            // Without framing a cut looks like the end: go on until nothing follows.
+            Ok(()) if !answer.framed && self.progress.last != before => End::Broken,
+            Ok(()) if !self.progress.events.is_empty() => End::Whole,
+            Ok(()) => self.broken("the stream has no event"),
+            Err(fault) => self.broken(&fault.to_string()),
+        }
+    }
+
+    fn broken(&self, reason: &str) -> End {
+        self.slot.failed(reason);
+        End::Broken
+    }
+
+    fn request(&self) -> Request<Full<Bytes>> {
+        let organisation = Organisation::from(self.head.organisation.as_str());
+        let send = Send {
+            upstream: &self.slot.upstream,
+            organisation: Some(&organisation).filter(|name| !name.as_str().is_empty()),
+            left_ms: ITEM_TIME_MS,
+            last_event: self.progress.last,
+        };
+        let mut request = Request::new(Full::new(self.item.body.clone()));
+        *request.method_mut() = Method::POST;
+        *request.uri_mut() = self.item.path.parse().unwrap_or_default();
+        *request.headers_mut() = self.fleet.dialect.item_headers(&self.head.host, self.item, &send);
+        request
+    }
+}
--- /dev/null
+++ b/src/serve/jobs/takeover.rs
@@ -0,0 +1,92 @@
+//! Taking over jobs whose owner is gone.
+//!
+//! One member, chosen by the members' list, takes each such job by writing
+//! itself into the pending entry; the new version fences the old owner off.
+
+use std::rc::Rc;
+
+use prost::Message;
+
+use super::record::{Pending, pending_key};
+use super::shell::Jobs;
+use crate::clock::Time;
+use crate::emit;
+use crate::error::Result;
+use crate::event::Event;
+use crate::serve::member::owner;
+use crate::serve::store::{Commit, Expectation, Transaction};
+
+impl Jobs {
+    /// Compares this VM's jobs with what the store said to a read sent at `asked`.
+    pub fn reconcile(self: &Rc<Self>, asked: Time) {
+        for id in self.vanished(asked) {
+            self.lose(&id, "the store no longer names this VM as its owner");
+        }
+        if self.taking_over.get() || self.fleet.stopping.get() {
+            return;
+        }
+        let orphans = self.orphans();
+        if orphans.is_empty() {
+            return;
+        }
+        self.taking_over.set(true);
+        let jobs = self.clone();
+        actix_rt::spawn(async move {
+            for (id, pending, version) in orphans {
+                if let Err(error) = jobs.take_over(&id, pending, version).await {
+                    emit!(jobs.fleet.log, Event::StoreCallFailed, "job" => id.as_str(),
+                        "reason" => error.detail.as_str());
+                }
+            }
+            jobs.taking_over.set(false);
+        });
+    }
+
+    /// Jobs without a living owner that are this VM's to take.
+    fn orphans(&self) -> Vec<(String, Pending, u64)> {
+        let view = self.fleet.view.borrow();
+        let owned = self.owned.borrow();
+        let accepting = self.accepting.borrow();
+        // An entry that names this process without a job here was written by
+        // a call whose answer was lost.
+        let ours = |pending: &Pending| {
+            pending.owner == self.fleet.vm().as_str()
+                && pending.incarnation == self.fleet.member.incarnation
+        };
+        let lives = |pending: &Pending| {
+            view.members.iter().any(|listed| {
+                listed.member.vm.as_str() == pending.owner
+                    && listed.member.incarnation == pending.incarnation
+            })
+        };
+        view.pending
+            .iter()
+            .filter(|(id, _)| !owned.contains_key(*id) && !accepting.contains(*id))
+            .filter(|(id, (pending, _))| {
+                let chosen = owner(&view.members, id);
+                let chosen = chosen.is_some_and(|member| &member.vm == self.fleet.vm());
+                ours(pending) || (chosen && !lives(pending))
+            })
+            .map(|(id, (pending, version))| (id.clone(), pending.clone(), *version))
+            .collect()
+    }
+
+    async fn take_over(self: &Rc<Self>, id: &str, pending: Pending, version: u64) -> Result<()> {
+        let owner = self.fleet.vm().to_string();
+        let incarnation = self.fleet.member.incarnation;
+        let pending = Pending { owner, incarnation, ..pending };
+        let transaction = Transaction {
+            expected: vec![Expectation { key: pending_key(id), version }],
+            puts: vec![(pending_key(id), pending.encode_to_vec())],
+            deletes: Vec::new(),
+        };
+        let Commit::Applied(fence) = self.fleet.store.commit(transaction).await? else {
+            return Ok(());
+        };
+        emit!(self.fleet.log, Event::JobTaken, "job" => id, "fence" => fence);
+        if let Some(stored) = self.archive.load(id).await? {
+            self.adopt(id, stored, fence);
+        }
+        Ok(())
+    }
+}
--- /dev/null
+++ b/src/serve/node.rs
@@ -0,0 +1,149 @@
+//! The process of one entry VM: start, reload, planned stop.
+
+use std::cell::Cell;
+use std::path::PathBuf;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use slog::{Logger, o};
+use tokio::net::UdpSocket;
+
+use super::dialect::Dialect;
+use super::fleet::Fleet;
+use super::follow::Follower;
+use super::front::Front;
+use super::jobs::Jobs;
+use super::member::Member;
+use super::peers::Peers;
+use super::store::Store;
+use crate::clock::{Boot, Clock, Time};
+use crate::emit;
+use crate::error::{Error, Kind, Result};
+use crate::event::Event;
+use crate::node::Listener;
+use crate::settings;
+
+/// Time for which callers may still come after a planned stop has begun.
+const ACCEPT_AFTER_STOP: Duration = Duration::from_millis(5_000);
+/// Time before SIGKILL at which the process ends.
+const END_MARGIN: Duration = Duration::from_millis(400);
+/// Pause between two looks at what still runs.
+const DRAIN_LOOK: Duration = Duration::from_millis(50);
+/// Bound on telling the store that this VM is leaving.
+const LEAVE_TIMEOUT: Duration = Duration::from_millis(800);
+
+/// What the platform's adapter brings.
+pub struct Adapter {
+    /// The platform's key-value service.
+    pub store: Rc<dyn Store>,
+    /// Spelling of calls.
+    pub dialect: Rc<dyn Dialect>,
+}
+
+/// A running entry VM.
+pub struct Node {
+    fleet: Rc<Fleet>,
+    peers: Rc<Peers>,
+    jobs: Rc<Jobs>,
+    follower: Rc<Follower>,
+    front: Front,
+    path: PathBuf,
+}
+
+/// Starts an entry VM.
+pub async fn start<A>(
+    path: PathBuf,
+    settings: settings::Serve,
+    log: Logger,
+    adapt: A,
+) -> Result<Node>
+where
+    A: FnOnce(&settings::Serve, Arc<dyn Clock>) -> Adapter,
+{
+    let callers = Listener::bind("caller", settings.caller)?;
+    let readiness = Listener::bind("readiness", settings.readiness)?;
+    let addresses = Listener::bind("addresses", settings.addresses)?;
+    let refused = |error| Error::new(Kind::Settings, format!("peer: {}: {error}", settings.peer));
+    let datagrams = UdpSocket::bind(settings.peer).await.map_err(refused)?;
+    let clock: Arc<dyn Clock> = Arc::new(Boot);
+    let adapter = adapt(&settings, clock.clone());
+    let member = Member {
+        vm: settings.vm.clone(),
+        incarnation: rand::random(),
+        data_centre: settings.data_centre.clone(),
+        caller: callers.address,
+        peer: settings.peer,
+        weight: settings.weight,
+        leaving: false,
+    };
+    let log = log.new(o!("vm" => settings.vm.to_string()));
+    emit!(log, Event::Started, "incarnation" => format!("{:x}", member.incarnation),
+        "caller" => callers.address.to_string());
+    let fleet = Fleet::new(member, settings, clock, log, adapter.store, adapter.dialect);
+    let peers = Peers::new(fleet.clone(), datagrams);
+    let jobs = Jobs::new(fleet.clone());
+    let follower = Follower::new(fleet.clone(), peers.clone(), jobs.clone());
+    let front = Front {
+        fleet: fleet.clone(),
+        peers: peers.clone(),
+        jobs: jobs.clone(),
+        active: Rc::new(Cell::new(0)),
+        refuse_from: Rc::new(Cell::new(Time::NEVER)),
+    };
+    front.serve_callers(callers.socket)?;
+    front.serve_checks(readiness.socket)?;
+    front.serve_checks(addresses.socket)?;
+    actix_rt::spawn(peers.clone().listen(jobs.clone()));
+    actix_rt::spawn(peers.clone().announce());
+    actix_rt::spawn(follower.clone().run());
+    actix_rt::spawn(jobs.clone().dispatch());
+    Ok(Node { fleet, peers, jobs, follower, front, path })
+}
+
+impl Node {
+    /// Reads the settings again; wrong ones change nothing.
+    pub fn reload(&self) {
+        match settings::load::<settings::Serve>(&self.path) {
+            Ok(settings) => {
+                *self.fleet.settings.borrow_mut() = Rc::new(settings);
+                emit!(self.fleet.log, Event::SettingsReloaded);
+            }
+            Err(error) => {
+                emit!(self.fleet.log, Event::SettingsRefused, "reason" => error.detail.as_str());
+            }
+        }
+    }
+
+    /// Leaves the fleet without cutting a request.
+    pub async fn drain(self) {
+        let begun = self.fleet.now();
+        let stop = Duration::from_secs_f64(self.fleet.settings().bounds.stop_s);
+        let end = begun.after(stop.saturating_sub(END_MARGIN));
+        emit!(self.fleet.log, Event::Stopping, "active" => self.front.active.get(),
+            "left_ms" => begun.until(end).as_millis() as u64);
+        self.fleet.stopping.set(true);
+        self.fleet.ledger.borrow_mut().resign();
+        self.peers.say_load();
+        self.tell_store(false).await;
+        let refuse = begun.after(ACCEPT_AFTER_STOP.min(stop / 2));
+        self.front.refuse_from.set(refuse);
+        self.jobs.release();
+        tokio::time::sleep(self.fleet.now().until(refuse)).await;
+        self.tell_store(true).await;
+        while self.front.active.get() > 0 && !end.passed(self.fleet.now()) {
+            tokio::time::sleep(DRAIN_LOOK).await;
+        }
+        emit!(self.fleet.log, Event::Stopped, "active" => self.front.active.get());
+    }
+
+    async fn tell_store(&self, remove: bool) {
+        let told = tokio::time::timeout(LEAVE_TIMEOUT, self.follower.leave(remove)).await;
+        let reason = match told {
+            Ok(Ok(())) => return,
+            Ok(Err(error)) => error.detail,
+            Err(_) => "no answer in time".to_owned(),
+        };
+        emit!(self.fleet.log, Event::StoreCallFailed, "reason" => reason);
+    }
+}
--- /dev/null
+++ b/src/serve/place.rs
@@ -0,0 +1,97 @@
+//! Choice of the upstream that runs a request, and refusal of requests that
+//! would come too late.
+//!
+//! Upstreams admit requests in order of arrival and know no priorities. A
+//! request goes where its first event is expected soonest, counting all VMs'
+//! requests. Batch items make room for online requests, so they cost an online
+//! request only the time of the interruption.
+
+use super::upstream::{Entry, Key, Table};
+use crate::clock::Time;
+use crate::id::{DataCentre, Service, Upstream};
+
+/// Time in which one slot of a full upstream becomes free, in milliseconds.
+const SLOT_TURN_MS: f64 = 90.0;
+/// Time in which a batch item makes room, in milliseconds.
+const PREEMPTION_MS: f64 = 20.0;
+/// What one running request adds to another's first event, in milliseconds.
+const SHARING_MS: f64 = 1.0;
+/// What another data centre costs, in milliseconds.
+const DISTANCE_MS: f64 = 3.0;
+/// Share of an upstream's average first-event time that counts against it.
+const HISTORY_WEIGHT: f64 = 0.25;
+/// Time to the first event at an upstream with a free slot, in milliseconds.
+const PREFILL_MS: f64 = 50.0;
+
+/// What is asked for.
+#[derive(Clone, Copy, Debug)]
+pub struct Wish<'a> {
+    /// Service that must run the request.
+    pub service: &'a Service,
+    /// Where this VM stands.
+    pub data_centre: &'a DataCentre,
+    /// Upstreams that already failed this request.
+    pub tried: &'a [Upstream],
+    /// Breaks ties between VMs that choose at the same moment.
+    pub draw: u64,
+}
+
+/// A chosen upstream.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Choice {
+    /// Which one.
+    pub key: Key,
+    /// Expected time to the first event, in milliseconds.
+    pub expected_ms: f64,
+}
+
+/// Chooses an upstream for an online request; none if no upstream is usable.
+pub fn online(table: &Table, wish: Wish<'_>, now: Time) -> Option<Choice> {
+    let usable = |(_, entry): &(Key, &Entry)| {
+        entry.usable(now) && !wish.tried.contains(&entry.registration.upstream)
+    };
+    table
+        .of_service(wish.service)
+        .filter(usable)
+        .map(|(key, entry)| {
+            let expected_ms = PREFILL_MS + wait_ms(entry);
+            let jitter = f64::from((wish.draw as u32 ^ entry.number) % 64) / 32.0;
+            let distance =
+                if &entry.registration.data_centre == wish.data_centre { 0.0 } else { DISTANCE_MS };
+            let history = entry.first_event_ms * HISTORY_WEIGHT;
+            (Choice { key, expected_ms }, expected_ms + jitter + distance + history)
+        })
+        .min_by(|(_, one), (_, other)| one.total_cmp(other))
+        .map(|(choice, _)| choice)
+}
+
+/// Expected wait for a slot at an upstream, in milliseconds.
+fn wait_ms(entry: &Entry) -> f64 {
+    let load = entry.load();
+    let slots = entry.registration.slots;
+    let sharing = SHARING_MS * f64::from(load.total().min(slots));
+    if load.total() < slots {
+        return sharing;
+    }
+    if load.online < slots {
+        return sharing + PREEMPTION_MS;
+    }
+    sharing + SLOT_TURN_MS * f64::from(load.online + 1 - slots)
+}
+
+/// Chooses an upstream for a batch item: one that keeps `reserve` slots free.
+pub fn batch(table: &Table, wish: Wish<'_>, reserve: u32, now: Time) -> Option<Key> {
+    table
+        .of_service(wish.service)
+        .filter(|(_, entry)| {
+            entry.usable(now) && entry.load().total() + reserve < entry.registration.slots
+        })
+        .map(|(key, entry)| {
+            let tried = wish.tried.contains(&entry.registration.upstream);
+            let elsewhere = &entry.registration.data_centre != wish.data_centre;
+            let rank = (tried, entry.load().total(), elsewhere, wish.draw as u32 ^ entry.number);
+            (rank, key)
+        })
+        .min_by_key(|(rank, _)| *rank)
+        .map(|(_, key)| key)
+}
--- /dev/null
+++ b/src/serve/upstream.rs
@@ -0,0 +1,265 @@
+//! Upstreams of the fleet, with what is known of their load and health.
+
+use std::collections::HashMap;
+use std::hash::Hasher;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use siphasher::sip::SipHasher13;
+use slotmap::{SlotMap, new_key_type};
+
+use super::store::Registration;
+use crate::clock::Time;
+use crate::id::{DataCentre, Service, Upstream};
+
+new_key_type! {
+    /// An upstream in the table.
+    pub struct Key;
+}
+
+/// Time for which entries that vanished during an outage of the store are kept.
+const RETURN_GRACE: Duration = Duration::from_millis(2_200);
+/// First time without requests after a failure.
+const EJECT: Duration = Duration::from_millis(400);
+/// Longest time without requests after failures in a row.
+const MAX_EJECT: Duration = Duration::from_secs(4);
+/// Weight of the newest sample in an average.
+const SAMPLE_WEIGHT: f64 = 0.2;
+
+/// Requests that run at an upstream.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Load {
+    /// Online requests.
+    pub online: u32,
+    /// Items of batch jobs.
+    pub batch: u32,
+}
+
+impl Load {
+    /// Both together.
+    pub fn total(self) -> u32 {
+        self.online + self.batch
+    }
+}
+
+/// Requests of another VM at one upstream.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct PeerLoad {
+    /// Number of the upstream.
+    pub upstream: u32,
+    /// The requests.
+    pub load: Load,
+    /// Whether that VM makes room before this one does.
+    pub first: bool,
+}
+
+/// An upstream.
+#[derive(Clone, Debug)]
+pub struct Entry {
+    /// What it said of itself.
+    pub registration: Registration,
+    /// Number by which VMs name it to each other.
+    pub number: u32,
+    /// Requests of this VM.
+    pub own: Load,
+    /// Requests of other VMs, as they last said.
+    pub peers: Load,
+    /// Items of VMs that make room before this one does.
+    pub batch_before: u32,
+    /// No requests go there before this time.
+    pub ejected_until: Time,
+    /// Average time to the first event, in milliseconds.
+    pub first_event_ms: f64,
+    failures: u32,
+    missing_since: Option<Time>,
+}
+
+impl Entry {
+    fn new(registration: Registration) -> Self {
+        let number = number(&registration.upstream);
+        Self {
+            registration,
+            number,
+            own: Load::default(),
+            peers: Load::default(),
+            batch_before: 0,
+            ejected_until: Time(0),
+            first_event_ms: 0.0,
+            failures: 0,
+            missing_since: None,
+        }
+    }
+
+    /// Requests of all VMs.
+    pub fn load(&self) -> Load {
+        Load {
+            online: self.own.online + self.peers.online,
+            batch: self.own.batch + self.peers.batch,
+        }
+    }
+
+    /// Whether requests may be sent at `now`.
+    pub fn usable(&self, now: Time) -> bool {
+        !self.registration.draining && self.ejected_until.passed(now)
+    }
+}
+
+/// Number of an upstream in messages between VMs.
+pub fn number(upstream: &Upstream) -> u32 {
+    let mut hasher = SipHasher13::new();
+    hasher.write(upstream.as_str().as_bytes());
+    hasher.finish() as u32
+}
+
+/// All upstreams.
+#[derive(Default)]
+pub struct Table {
+    entries: SlotMap<Key, Entry>,
+    by_name: HashMap<Upstream, Key>,
+    by_number: HashMap<u32, Key>,
+    grace_until: Time,
+}
+
+impl Table {
+    /// Takes a new list; `outage` says that the store could not be read for a
+    /// while before. Returns the upstreams that were added and removed.
+    pub fn replace(
+        &mut self,
+        registrations: &[Registration],
+        outage: bool,
+        now: Time,
+    ) -> (Vec<Upstream>, Vec<Upstream>) {
+        if outage {
+            self.grace_until = now.after(RETURN_GRACE);
+        }
+        let mut added = Vec::new();
+        for registration in registrations {
+            if self.upsert(registration) {
+                added.push(registration.upstream.clone());
+            }
+        }
+        let listed: std::collections::HashSet<&Upstream> =
+            registrations.iter().map(|registration| &registration.upstream).collect();
+        let in_grace = !self.grace_until.passed(now);
+        let mut removed = Vec::new();
+        for (key, entry) in &mut self.entries {
+            if listed.contains(&entry.registration.upstream) {
+                entry.missing_since = None;
+                continue;
+            }
+            entry.missing_since.get_or_insert(now);
+            if !in_grace {
+                removed.push(key);
+            }
+        }
+        let removed = removed.into_iter().filter_map(|key| self.remove(key)).collect();
+        (added, removed)
+    }
+
+    fn upsert(&mut self, registration: &Registration) -> bool {
+        if let Some(key) = self.by_name.get(&registration.upstream) {
+            let entry = &mut self.entries[*key];
+            let restarted = entry.registration.started_unix_ms != registration.started_unix_ms
+                || entry.registration.address != registration.address;
+            entry.registration = registration.clone();
+            if restarted {
+                entry.ejected_until = Time(0);
+                entry.failures = 0;
+                entry.first_event_ms = 0.0;
+            }
+            return false;
+        }
+        let entry = Entry::new(registration.clone());
+        let number = entry.number;
+        let key = self.entries.insert(entry);
+        self.by_name.insert(registration.upstream.clone(), key);
+        self.by_number.insert(number, key);
+        true
+    }
+
+    fn remove(&mut self, key: Key) -> Option<Upstream> {
+        let entry = self.entries.remove(key)?;
+        self.by_name.remove(&entry.registration.upstream);
+        self.by_number.remove(&entry.number);
+        Some(entry.registration.upstream)
+    }
+
+    /// One upstream, while it is in the table.
+    pub fn get(&self, key: Key) -> Option<&Entry> {
+        self.entries.get(key)
+    }
+
+    /// One upstream, to change what is known of it.
+    pub fn get_mut(&mut self, key: Key) -> Option<&mut Entry> {
+        self.entries.get_mut(key)
+    }
+
+    /// All upstreams.
+    pub fn iter(&self) -> impl Iterator<Item = (Key, &Entry)> {
+        self.entries.iter()
+    }
+
+    /// All upstreams of a service.
+    pub fn of_service<'a>(
+        &'a self,
+        service: &'a Service,
+    ) -> impl Iterator<Item = (Key, &'a Entry)> {
+        self.entries.iter().filter(move |(_, entry)| &entry.registration.service == service)
+    }
+
+    /// Clears what other VMs said and takes their loads anew.
+    pub fn set_peers<I>(&mut self, loads: I)
+    where
+        I: IntoIterator<Item = PeerLoad>,
+    {
+        for entry in self.entries.values_mut() {
+            entry.peers = Load::default();
+            entry.batch_before = 0;
+        }
+        for PeerLoad { upstream, load, first } in loads {
+            let Some(key) = self.by_number.get(&upstream) else { continue };
+            let entry = &mut self.entries[*key];
+            entry.peers.online += load.online;
+            entry.peers.batch += load.batch;
+            entry.batch_before += if first { load.batch } else { 0 };
+        }
+    }
+
+    /// Notes that an upstream failed; returns until when it gets no requests.
+    pub fn failed(&mut self, key: Key, now: Time) -> Option<Time> {
+        let entry = self.entries.get_mut(key)?;
+        let span = EJECT.saturating_mul(1 << entry.failures.min(4)).min(MAX_EJECT);
+        entry.failures += 1;
+        entry.ejected_until = entry.ejected_until.max(now.after(span));
+        Some(entry.ejected_until)
+    }
+
+    /// Notes a first event after this many milliseconds.
+    pub fn answered(&mut self, key: Key, first_event_ms: f64) {
+        let Some(entry) = self.entries.get_mut(key) else { return };
+        entry.failures = 0;
+        entry.first_event_ms += (first_event_ms - entry.first_event_ms) * SAMPLE_WEIGHT;
+    }
+
+    /// Whether an upstream at `address` under this name is still listed.
+    pub fn current(&self, key: Key, address: SocketAddr) -> bool {
+        self.entries.get(key).is_some_and(|entry| entry.registration.address == address)
+    }
+
+    /// Slots of all usable upstreams of a service, and requests that run there.
+    pub fn capacity(&self, service: &Service, now: Time) -> (u32, Load) {
+        let mut slots = 0;
+        let mut load = Load::default();
+        for (_, entry) in self.of_service(service).filter(|(_, entry)| entry.usable(now)) {
+            slots += entry.registration.slots;
+            load.online += entry.load().online;
+            load.batch += entry.load().batch;
+        }
+        (slots, load)
+    }
+
+    /// Data centre of an upstream.
+    pub fn data_centre(&self, key: Key) -> Option<&DataCentre> {
+        self.entries.get(key).map(|entry| &entry.registration.data_centre)
+    }
+}
--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -7,10 +7,14 @@
 mod file;
 mod log;
 mod platform;
+mod serve;
+mod standby;
 mod store;
 
 pub use entry::Entry;
 pub use file::{Check, load, parse};
 pub use log::{Format, Level, Log};
 pub use platform::Platform;
+pub use serve::{Bounds, Serve};
+pub use standby::Standby;
 pub use store::Store;
--- a/src/store/shell.rs
+++ b/src/store/shell.rs
@@ -15,7 +15,7 @@
 use crate::emit;
 use crate::error::{Error, Kind, Result};
 use crate::event::Event;
-use crate::platform::KeyValue;
+use crate::kv::KeyValue;
 use crate::segment::{Append, Disk, Replica, SEGMENTS, SegmentId};
 use crate::wire::batch::{self, Ask, Body, Message};
 use crate::wire::{self, Handler, Peer};
--- a/src/store/supervisor.rs
+++ b/src/store/supervisor.rs
@@ -13,7 +13,7 @@
 use crate::emit;
 use crate::event::Event;
 use crate::id::{DataCentre, Vm};
-use crate::platform::{Entry, KeyValue, Swap, Swapped};
+use crate::kv::{Entry, KeyValue, Swap, Swapped};
 use crate::segment::{MIN_COPIES, Replica, SegmentId, Set, TARGET_COPIES};
 use crate::view::{Member, Role, State};
 use crate::wire::batch::{Body, Message};
--- a/standins/src/vms.rs
+++ b/standins/src/vms.rs
@@ -9,7 +9,7 @@
 use actix_web::HttpResponse;
 use actix_web::web::{self, Data, ServiceConfig};
 use parking_lot::Mutex;
-use parsleybeam::platform::Listed;
+use parsleybeam::kv::Listed;
 
 use crate::server::{Lifeline, Running, Service, any_port};
 
--- a/tests/platform.rs
+++ b/tests/kv.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use parsleybeam::error::Kind;
-use parsleybeam::platform::{Etcd, KeyValue, Notice, Swap, Swapped};
+use parsleybeam::kv::{Etcd, KeyValue, Notice, Swap, Swapped};
 use standins::{Running, faults::Change, kv};
 
 fn start() -> (Running, Etcd) {
--- a/tests/shares.rs
+++ b/tests/shares.rs
@@ -15,7 +15,7 @@
 use parsleybeam::context::Context;
 use parsleybeam::error::{Error, Kind, Result};
 use parsleybeam::id::{Organisation, Vm};
-use parsleybeam::platform::{Entry, KeyValue, LeaseId, Notice, Range, Swap, Swapped};
+use parsleybeam::kv::{Entry, KeyValue, LeaseId, Notice, Range, Swap, Swapped};
 use parsleybeam::view::{Member, Role, Shared, State, View};
 use parsleybeam::wire::{Areas, Pool, Server};
 use tokio::net::TcpListener;
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -8,7 +8,7 @@
 
 use futures_util::future::LocalBoxFuture;
 use parsleybeam::error::{Error, Kind, Result};
-use parsleybeam::platform::{Change, Entry, KeyValue, LeaseId, Notice, Range, Swap, Swapped};
+use parsleybeam::kv::{Change, Entry, KeyValue, LeaseId, Notice, Range, Swap, Swapped};
 use tokio::sync::mpsc;
 
 #[derive(Default)]
