Spread most of each rate over the members, pool the rest

What was changed: 0.6 of each rate and burst is spread evenly over the members and spent without asking; the rest stays pooled at the holder. A planned stop leaves its entry in the store, so the next run is counted at once. Ruled out: a shorter wait of the successor (a holder that was cut off may still grant), a larger reserve (all reserves together must fit the bound's tolerance).

--- a/src/serve/follow.rs
+++ b/src/serve/follow.rs
@@ -11,6 +11,7 @@
 use super::jobs::{Jobs, PENDING_PREFIX, Pending};
 use super::member::{self, MEMBER_PREFIX, Member, owner};
 use super::peers::{GONE, Peers};
+use super::rate::Inheritance;
 use super::store::{Commit, Expectation, Snapshot, Transaction};
 use crate::clock::Time;
 use crate::emit;
@@ -25,6 +26,9 @@
 /// Time without an answer after which the store counts as having been away.
 const OUTAGE: Duration = Duration::from_millis(2_000);
 
+/// Incarnation in the entry of a VM whose process has ended as planned.
+const NO_INCARNATION: u64 = 0;
+
 /// Follows the store.
 pub struct Follower {
     fleet: Rc<Fleet>,
@@ -37,8 +41,8 @@
 struct State {
     /// Whether this process has written its own entry.
     registered: bool,
-    /// Whether the entry of an earlier run stood at the first read.
-    inherited: bool,
+    /// What an earlier run left in the store.
+    inheritance: Inheritance,
     lost: bool,
     in_contact: bool,
 }
@@ -161,10 +165,14 @@
         let mut state = self.state.borrow_mut();
         if !state.registered {
             let vm = self.fleet.vm();
-            state.inherited |= members.iter().any(|listed| {
-                &listed.member.vm == vm
-                    && listed.member.incarnation != self.fleet.member.incarnation
+            let earlier = members.iter().map(|listed| &listed.member).find(|member| {
+                &member.vm == vm && member.incarnation != self.fleet.member.incarnation
             });
+            state.inheritance = match earlier {
+                Some(member) if member.leaving => Inheritance::Left,
+                Some(_) => Inheritance::Crashed,
+                None => state.inheritance,
+            };
         }
         self.note_members(&members);
         let mut view = self.fleet.view.borrow_mut();
@@ -174,7 +182,7 @@
         let Some(configuration) = view.configuration.clone() else { return };
         if state.registered {
             let mut ledger = self.fleet.ledger.borrow_mut();
-            ledger.update(&view.members, configuration.tenants(), state.inherited, asked, now);
+            ledger.update(&view.members, configuration.tenants(), state.inheritance, asked, now);
         }
     }
 
@@ -281,17 +289,14 @@
         owner(&heard, gone.vm.as_str()).is_some_and(|member| &member.vm == self.fleet.vm())
     }
 
-    /// Says in the store that this VM is leaving, or removes its entry.
-    pub async fn leave(&self, remove: bool) -> Result<()> {
-        let Some(own) = self.own_entry() else { return Ok(()) };
-        let key = Member::key_of(self.fleet.vm());
-        let expected = vec![Expectation { key: key.clone(), version: own.version }];
-        let member = Member { leaving: true, ..self.fleet.member.clone() };
-        let transaction = if remove {
-            Transaction { expected: Vec::new(), puts: Vec::new(), deletes: vec![key] }
-        } else {
-            Transaction { expected, puts: vec![(key, member.encode())], deletes: Vec::new() }
-        };
+    /// Says in the store that this VM is leaving. With `ended` it also gives
+    /// up its incarnation, so that its jobs are taken over. The entry stays for
+    /// its next run; peers remove it if none comes.
+    pub async fn leave(&self, ended: bool) -> Result<()> {
+        let incarnation = if ended { NO_INCARNATION } else { self.fleet.member.incarnation };
+        let member = Member { leaving: true, incarnation, ..self.fleet.member.clone() };
+        let put = (Member::key_of(self.fleet.vm()), member.encode());
+        let transaction = Transaction { puts: vec![put], ..Transaction::default() };
         self.fleet.store.commit(transaction).await.map(|_| ())
     }
 }
--- a/src/serve/peers.rs
+++ b/src/serve/peers.rs
@@ -217,6 +217,10 @@
 
     /// Takes a token of an organisation; says where it came from.
     pub async fn take(&self, tenant: &Tenant) -> (rate::Grant, &'static str) {
+        let own = self.fleet.ledger.borrow_mut().spend_piece(tenant, self.fleet.now());
+        if own == rate::Grant::Granted {
+            return (own, "own piece");
+        }
         let holder = {
             let view = self.fleet.view.borrow();
             owner(&view.members, tenant.organisation.as_str()).cloned()
--- a/src/serve/rate.rs
+++ b/src/serve/rate.rs
@@ -1,12 +1,17 @@
 //! Rate and burst of each organisation, over all VMs together.
 //!
-//! One VM, chosen by the members' list, holds an organisation's bucket and
-//! grants its tokens to all others. It grants only while its view of the list
-//! is younger than `AUTHORITY`, and a new holder begins only when that time has
-//! passed since it first saw itself named: so two VMs never grant at once,
-//! however long either was cut off or suspended. While the holder can't be
-//! asked, each VM spends from a small reserve, sized so that all reserves
-//! together stay within the tolerance of the bound.
+//! An organisation's rate and burst are divided into two parts. `LOCAL_SHARE`
+//! of them is spread evenly over the members, and each spends its own piece
+//! without asking. The rest lies with one VM, chosen by the members' list,
+//! which grants it to whoever has used up its piece. So a lost or changing
+//! holder costs little, and callers that come unevenly find the pooled rest.
+//!
+//! The pieces never add up to more than the whole. A VM that joins begins to
+//! spend only after `AUTHORITY`; one whose list is older than `AUTHORITY`
+//! stops; and the number of pieces is the largest number of members seen
+//! within that time. A new holder begins after `AUTHORITY` too, or at once if
+//! the one before has resigned. Beyond that each VM spends from a small
+//! reserve, sized so that all reserves stay within the bound's tolerance.
 //!
 //! Answers the load of one organisation that sends many times its rate.
 
@@ -20,6 +25,8 @@
 
 /// Age of the members' list up to which a holder grants.
 pub const AUTHORITY: Duration = Duration::from_millis(4_800);
+/// Part of each rate and burst that is spread over the members.
+pub const LOCAL_SHARE: f64 = 0.6;
 /// Wait named to callers when the holder can't be asked.
 const UNREACHABLE_RETRY: Duration = Duration::from_millis(500);
 /// Share of the tolerated excess that the reserves use.
@@ -81,17 +88,35 @@
     bucket: Bucket,
 }
 
-/// Buckets that this VM holds, and its reserves.
+/// What an earlier run of this VM's process left in the members' list.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Inheritance {
+    /// No entry: others don't count this VM.
+    #[default]
+    None,
+    /// The entry of a run that left as planned: others count this VM, and have
+    /// taken over what it held.
+    Left,
+    /// The entry of a run that crashed: others count this VM, and nobody has
+    /// taken over what it held.
+    Crashed,
+}
+
+/// Buckets that this VM holds, its pieces and its reserves.
 pub struct Ledger {
     vm: Vm,
     tolerance: Tolerance,
     tenures: HashMap<Organisation, Tenure>,
+    pieces: HashMap<Organisation, Bucket>,
     reserves: HashMap<Organisation, Bucket>,
     /// When the read that showed the present list was sent.
     confirmed: Time,
-    /// Most members that were listed at once.
-    most_members: usize,
-    begun: bool,
+    /// Numbers of members, with the time until which each counts.
+    sizes: Vec<(Time, usize)>,
+    /// Pieces are spent from here on.
+    spends_from: Time,
+    /// Members with the versions of their entries, as last read.
+    list: Vec<(Vm, u64)>,
 }
 
 impl Ledger {
@@ -101,36 +126,48 @@
             vm,
             tolerance,
             tenures: HashMap::new(),
+            pieces: HashMap::new(),
             reserves: HashMap::new(),
             confirmed: Time(0),
-            most_members: 1,
-            begun: false,
+            sizes: Vec::new(),
+            spends_from: Time::NEVER,
+            list: Vec::new(),
         }
     }
 
     /// Takes a members' list that was read by a call sent at `asked` and
-    /// answered at `now`. `inherited` says that this VM's own entry stood in
-    /// the list before its process registered, so nobody else held its
-    /// buckets since its last run.
+    /// answered at `now`.
     pub fn update(
         &mut self,
         members: &[Listed],
         tenants: &[Tenant],
-        inherited: bool,
+        inheritance: Inheritance,
         asked: Time,
         now: Time,
     ) {
-        let uninterrupted = self.begun && !self.confirmed.after(AUTHORITY).passed(now);
+        let lapsed = self.confirmed.after(AUTHORITY).passed(now);
+        let list: Vec<(Vm, u64)> =
+            members.iter().map(|listed| (listed.member.vm.clone(), listed.version)).collect();
+        let own = |list: &[(Vm, u64)]| list.iter().find(|(vm, _)| vm == &self.vm).cloned();
+        let first = self.list.is_empty();
+        let counted = !first && (!lapsed || own(&list) == own(&self.list));
+        let named = !first && (!lapsed || list == self.list);
+        let begins_at_once = first && inheritance == Inheritance::Crashed;
+        if !counted {
+            let others_count_us = first && inheritance != Inheritance::None;
+            self.spends_from = if others_count_us { now } else { now.after(AUTHORITY) };
+            self.pieces.clear();
+        }
         self.confirmed = self.confirmed.max(asked);
-        self.most_members = self.most_members.max(members.len());
-        let begins_at_once = !self.begun && inherited;
-        self.begun = true;
+        self.sizes.retain(|(until, _)| !until.passed(now));
+        self.sizes.push((now.after(AUTHORITY), members.len().max(1)));
+        self.list = list;
         for tenant in tenants {
             let ours = owner(members, tenant.organisation.as_str())
                 .is_some_and(|member| member.vm == self.vm);
             let held = self.tenures.get_mut(&tenant.organisation);
             match (ours, held) {
-                (true, Some(tenure)) if !uninterrupted => tenure.from = now.after(AUTHORITY),
+                (true, Some(tenure)) if !named => tenure.from = now.after(AUTHORITY),
                 (true, Some(_)) => {}
                 (true, None) => {
                     let free = begins_at_once || resigned(members, &tenant.organisation);
@@ -151,18 +188,45 @@
         self.confirmed = Time(0);
     }
 
+    /// Takes a token from this VM's own piece.
+    pub fn spend_piece(&mut self, tenant: &Tenant, now: Time) -> Grant {
+        let members = self.most_members();
+        let stale = self.confirmed.after(AUTHORITY).passed(now);
+        if stale || !self.spends_from.passed(now) || !is_spread(tenant, members) {
+            return Grant::NotHolder;
+        }
+        let part = LOCAL_SHARE / members as f64;
+        let from = self.spends_from;
+        let empty = || Bucket::new(0.0, from);
+        let piece = self.pieces.entry(tenant.organisation.clone()).or_insert_with(empty);
+        match piece.take(tenant.rate_per_s * part, tenant.burst * part, now) {
+            Ok(()) => Grant::Granted,
+            Err(wait) => Grant::Exceeded(wait),
+        }
+    }
+
+    fn most_members(&self) -> usize {
+        self.sizes.iter().map(|(_, size)| *size).max().unwrap_or(1)
+    }
+
+    fn fewest_members(&self) -> usize {
+        self.sizes.iter().map(|(_, size)| *size).min().unwrap_or(1)
+    }
+
     /// Grants a token of an organisation whose bucket this VM holds.
     pub fn grant(&mut self, tenant: &Tenant, now: Time) -> Grant {
         if self.confirmed.after(AUTHORITY).passed(now) {
             return Grant::NotHolder;
         }
+        let members = self.fewest_members();
         let Some(tenure) = self.tenures.get_mut(&tenant.organisation) else {
             return Grant::NotHolder;
         };
         if !tenure.from.passed(now) {
             return Grant::NotHolder;
         }
-        match tenure.bucket.take(tenant.rate_per_s, tenant.burst, now) {
+        let part = if is_spread(tenant, members) { 1.0 - LOCAL_SHARE } else { 1.0 };
+        match tenure.bucket.take(tenant.rate_per_s * part, tenant.burst * part, now) {
             Ok(()) => Grant::Granted,
             Err(wait) => Grant::Exceeded(wait),
         }
@@ -174,7 +238,7 @@
         let bound = tenant.rate_per_s * window + tenant.burst;
         let excess = (bound * self.tolerance.overrun + self.tolerance.slack) * RESERVE_SHARE;
         // Half may be spent at once, half comes back within the window.
-        let half = excess / self.most_members as f64 / 2.0;
+        let half = excess / self.most_members() as f64 / 2.0;
         if half < 0.5 {
             return Grant::Exceeded(UNREACHABLE_RETRY);
         }
@@ -187,6 +251,12 @@
     }
 }
 
+/// Whether an organisation's burst is large enough to be spread: a piece must
+/// hold a whole token.
+fn is_spread(tenant: &Tenant, members: usize) -> bool {
+    tenant.burst * LOCAL_SHARE >= members as f64
+}
+
 /// Whether the VM that would hold an organisation's bucket is leaving: it
 /// stopped granting before it said so.
 fn resigned(members: &[Listed], organisation: &Organisation) -> bool {
