Replace holders of a rate that lost the store within seconds

Cause: a VM that the store doesn't answer stayed listed, so its organisations had no holder for as long as it was cut off. What was changed: a holder's trust is 2.4 s (pieces keep 4.8 s); a VM says in its heartbeat whether the store answers it, and is taken off the list if not.

--- a/src/serve/follow.rs
+++ b/src/serve/follow.rs
@@ -10,7 +10,7 @@
 use super::fleet::Fleet;
 use super::jobs::{Jobs, PENDING_PREFIX, Pending};
 use super::member::{self, MEMBER_PREFIX, Member, owner};
-use super::peers::{GONE, Peers};
+use super::peers::Peers;
 use super::rate::Inheritance;
 use super::store::{Commit, Expectation, Snapshot, Transaction};
 use crate::clock::Time;
@@ -257,7 +257,7 @@
         let gone: Vec<member::Listed> = {
             let view = self.fleet.view.borrow();
             let others = view.members.iter().filter(|listed| &listed.member.vm != self.fleet.vm());
-            others.filter(|listed| self.peers.silent(&listed.member.vm, GONE)).cloned().collect()
+            others.filter(|listed| self.peers.gone(&listed.member)).cloned().collect()
         };
         for listed in gone {
             if !self.removes(&listed.member) {
@@ -281,8 +281,7 @@
             .members
             .iter()
             .filter(|listed| {
-                let vm = &listed.member.vm;
-                vm == self.fleet.vm() || !self.peers.silent(vm, GONE)
+                &listed.member.vm == self.fleet.vm() || !self.peers.gone(&listed.member)
             })
             .cloned()
             .collect();
--- a/src/serve/peer.rs
+++ b/src/serve/peer.rs
@@ -48,6 +48,9 @@
     /// Whether the sender takes callers.
     #[prost(bool, tag = "3")]
     pub serving: bool,
+    /// Whether the store answered the sender lately.
+    #[prost(bool, tag = "4")]
+    pub in_touch: bool,
 }
 
 /// Requests at one upstream.
--- a/src/serve/peers.rs
+++ b/src/serve/peers.rs
@@ -33,7 +33,11 @@
 /// Silence after which a peer's load isn't counted and callers aren't sent to it.
 const SILENT: Duration = Duration::from_millis(1_200);
 /// Silence after which a peer's entry is removed from the store.
-pub const GONE: Duration = Duration::from_secs(3);
+pub const GONE: Duration = Duration::from_millis(2_200);
+/// Age of the store's last answer from which a VM says that it is out of touch.
+const OUT_OF_TOUCH: Duration = Duration::from_millis(2_000);
+/// Time out of touch after which a peer's entry is removed, if others can.
+const REMOVE_OUT_OF_TOUCH: Duration = Duration::from_millis(300);
 /// Wait for the answer of another VM, for each of `ASKS` questions.
 const ASK_TIMEOUT: Duration = Duration::from_millis(40);
 /// Questions for one token before the reserve is used.
@@ -45,6 +49,8 @@
     sequence: u64,
     rows: Vec<Row>,
     serving: bool,
+    /// Since when it has said without a break that it is out of touch.
+    untouched_since: Option<Time>,
     at: Time,
 }
 
@@ -105,7 +111,9 @@
         self.sequence.set(self.sequence.get() + 1);
         let rows = self.rows();
         let serving = self.serving();
-        let load = Load { sequence: self.sequence.get(), rows, serving };
+        let confirmed = self.fleet.view.borrow().confirmed;
+        let in_touch = !confirmed.after(OUT_OF_TOUCH).passed(self.fleet.now());
+        let load = Load { sequence: self.sequence.get(), rows, serving, in_touch };
         let bytes = self.datagram(Content::Load(load));
         for address in self.others() {
             self.send(&bytes, address);
@@ -178,7 +186,9 @@
             return;
         }
         let (sequence, rows, serving) = (load.sequence, load.rows, load.serving);
-        heard.insert(vm, Heard { incarnation, sequence, rows, serving, at: now });
+        let before = heard.get(&vm).and_then(|last| last.untouched_since);
+        let untouched_since = if load.in_touch { None } else { Some(before.unwrap_or(now)) };
+        heard.insert(vm, Heard { incarnation, sequence, rows, serving, untouched_since, at: now });
         drop(heard);
         self.recount();
     }
@@ -280,6 +290,17 @@
         last.after(span).passed(self.fleet.now())
     }
 
+    /// Whether a VM should no longer be listed: it is silent, or has been without
+    /// contact with the store for a while.
+    pub fn gone(&self, member: &Member) -> bool {
+        let heard = self.heard.borrow();
+        let untouched_since = heard.get(&member.vm).and_then(|heard| heard.untouched_since);
+        drop(heard);
+        let untouched = untouched_since
+            .is_some_and(|since| since.after(REMOVE_OUT_OF_TOUCH).passed(self.fleet.now()));
+        untouched || self.silent(&member.vm, GONE)
+    }
+
     /// Whether a peer said that it takes callers, and was heard lately.
     pub fn takes_callers(&self, vm: &Vm) -> bool {
         let serving = self.heard.borrow().get(vm).is_none_or(|heard| heard.serving);
--- a/src/serve/rate.rs
+++ b/src/serve/rate.rs
@@ -7,10 +7,10 @@
 //! holder costs little, and callers that come unevenly find the pooled rest.
 //!
 //! The pieces never add up to more than the whole. A VM that joins begins to
-//! spend only after `AUTHORITY`; one whose list is older than `AUTHORITY`
-//! stops; and the number of pieces is the largest number of members seen
-//! within that time. A new holder begins after `AUTHORITY` too, or at once if
-//! the one before has resigned. Beyond that each VM spends from a small
+//! spend only after `PIECE_TRUST`; one whose list is older than that stops;
+//! and the number of pieces is the largest number of members seen within that
+//! time. Likewise a new holder begins after `HOLDER_TRUST`, or at once if the
+//! one before has resigned. Beyond that each VM spends from a small
 //! reserve, sized so that all reserves stay within the bound's tolerance.
 //!
 //! Answers the load of one organisation that sends many times its rate.
@@ -23,8 +23,11 @@
 use crate::clock::Time;
 use crate::id::{Organisation, Vm};
 
-/// Age of the members' list up to which a holder grants.
-pub const AUTHORITY: Duration = Duration::from_millis(4_800);
+/// Age of the members' list up to which a VM spends its piece.
+pub const PIECE_TRUST: Duration = Duration::from_millis(4_800);
+/// Age of the members' list up to which a holder grants. Shorter, so that a
+/// lost holder is replaced soon; pieces last through a short outage.
+pub const HOLDER_TRUST: Duration = Duration::from_millis(2_400);
 /// Part of each rate and burst that is spread over the members.
 pub const LOCAL_SHARE: f64 = 0.6;
 /// Wait named to callers when the holder can't be asked.
@@ -145,33 +148,34 @@
         asked: Time,
         now: Time,
     ) {
-        let lapsed = self.confirmed.after(AUTHORITY).passed(now);
+        let untrusted = self.confirmed.after(PIECE_TRUST).passed(now);
+        let lapsed = self.confirmed.after(HOLDER_TRUST).passed(now);
         let list: Vec<(Vm, u64)> =
             members.iter().map(|listed| (listed.member.vm.clone(), listed.version)).collect();
         let own = |list: &[(Vm, u64)]| list.iter().find(|(vm, _)| vm == &self.vm).cloned();
         let first = self.list.is_empty();
-        let counted = !first && (!lapsed || own(&list) == own(&self.list));
+        let counted = !first && (!untrusted || own(&list) == own(&self.list));
         let named = !first && (!lapsed || list == self.list);
         let begins_at_once = first && inheritance == Inheritance::Crashed;
         if !counted {
             let others_count_us = first && inheritance != Inheritance::None;
-            self.spends_from = if others_count_us { now } else { now.after(AUTHORITY) };
+            self.spends_from = if others_count_us { now } else { now.after(PIECE_TRUST) };
             self.pieces.clear();
         }
         self.confirmed = self.confirmed.max(asked);
         self.sizes.retain(|(until, _)| !until.passed(now));
-        self.sizes.push((now.after(AUTHORITY), members.len().max(1)));
+        self.sizes.push((now.after(PIECE_TRUST), members.len().max(1)));
         self.list = list;
         for tenant in tenants {
             let ours = owner(members, tenant.organisation.as_str())
                 .is_some_and(|member| member.vm == self.vm);
             let held = self.tenures.get_mut(&tenant.organisation);
             match (ours, held) {
-                (true, Some(tenure)) if !named => tenure.from = now.after(AUTHORITY),
+                (true, Some(tenure)) if !named => tenure.from = now.after(HOLDER_TRUST),
                 (true, Some(_)) => {}
                 (true, None) => {
                     let free = begins_at_once || resigned(members, &tenant.organisation);
-                    let from = if free { now } else { now.after(AUTHORITY) };
+                    let from = if free { now } else { now.after(HOLDER_TRUST) };
                     let tenure = Tenure { from, bucket: Bucket::new(0.0, from) };
                     self.tenures.insert(tenant.organisation.clone(), tenure);
                 }
@@ -191,7 +195,7 @@
     /// Takes a token from this VM's own piece.
     pub fn spend_piece(&mut self, tenant: &Tenant, now: Time) -> Grant {
         let members = self.most_members();
-        let stale = self.confirmed.after(AUTHORITY).passed(now);
+        let stale = self.confirmed.after(PIECE_TRUST).passed(now);
         if stale || !self.spends_from.passed(now) || !is_spread(tenant, members) {
             return Grant::NotHolder;
         }
@@ -215,7 +219,7 @@
 
     /// Grants a token of an organisation whose bucket this VM holds.
     pub fn grant(&mut self, tenant: &Tenant, now: Time) -> Grant {
-        if self.confirmed.after(AUTHORITY).passed(now) {
+        if self.confirmed.after(HOLDER_TRUST).passed(now) {
             return Grant::NotHolder;
         }
         let members = self.fewest_members();
