Reach the store through peers when it turns a VM away

Cause: VMs that the store doesn't answer refused keyed requests, jobs and tokens, though their peers were answered.

--- a/programs/src/serve.rs
+++ b/programs/src/serve.rs
@@ -8,7 +8,6 @@
 
 use parsleybeam::serve::node;
 use parsleybeam::settings;
-use parsleybeam::transport::Pool;
 use parsleybeam_platform::{Client, Wire};
 
 fn main() -> ExitCode {
@@ -17,8 +16,8 @@
         let path = arguments.settings;
         let settings: settings::Serve = settings::load(&path)?;
         let log = parsleybeam::log::standard_output(&settings.log);
-        let node = node::start(path, settings, log, |settings, clock| node::Adapter {
-            store: Rc::new(Client::new(settings.key_value, Pool::new(clock))),
+        let node = node::start(path, settings, log, |settings, channel| node::Adapter {
+            store: Rc::new(Client::new(settings.key_value, channel)),
             dialect: Rc::new(Wire),
         })
         .await?;
--- a/src/serve/front.rs
+++ b/src/serve/front.rs
@@ -17,6 +17,7 @@
 use http::{HeaderMap, HeaderName, HeaderValue, Method};
 use tokio::net::TcpListener;
 
+use super::channel::Channel;
 use super::configuration::Kind as RouteKind;
 use super::dialect::Arrival;
 use super::exchange::{self, Body, Reply};
@@ -214,6 +215,38 @@
     }
 }
 
+/// Serves calls to the store that other VMs can't make themselves.
+pub fn serve_relay(channel: Rc<Channel>, socket: std::net::TcpListener) -> Result<()> {
+    listen(socket, move |config| {
+        let channel = channel.clone();
+        config.default_service(web::to(move |request: HttpRequest, payload: web::Payload| {
+            let channel = channel.clone();
+            async move { pass_on(&channel, request, payload).await }
+        }));
+    })
+}
+
+async fn pass_on(channel: &Channel, request: HttpRequest, payload: web::Payload) -> HttpResponse {
+    let Ok(body) = read(payload, MAX_BODY_BYTES).await else {
+        return HttpResponse::BadRequest().finish();
+    };
+    let mut passed = http::Request::new(body);
+    let method = Method::from_bytes(request.method().as_str().as_bytes());
+    let target = request.uri().to_string().parse();
+    let (Ok(method), Ok(target)) = (method, target) else {
+        return HttpResponse::BadRequest().finish();
+    };
+    *passed.method_mut() = method;
+    *passed.uri_mut() = target;
+    let mut headers = copy_headers(&request);
+    headers.remove(http::header::CONTENT_LENGTH);
+    headers.remove(http::header::TRANSFER_ENCODING);
+    *passed.headers_mut() = headers;
+    let (status, body) = channel.pass_on(passed).await;
+    let status = actix_web::http::StatusCode::from_u16(status.as_u16());
+    HttpResponse::build(status.unwrap_or(actix_web::http::StatusCode::BAD_GATEWAY)).body(body)
+}
+
 /// Serves HTTP on this thread until the process ends.
 fn listen<C>(socket: std::net::TcpListener, configure: C) -> Result<()>
 where
--- a/src/serve/member.rs
+++ b/src/serve/member.rs
@@ -29,6 +29,8 @@
     pub caller: SocketAddr,
     /// Where other VMs send datagrams.
     pub peer: SocketAddr,
+    /// Where other VMs make calls that the store turns away from them.
+    pub relay: SocketAddr,
     /// What it can carry, relative to others.
     pub weight: f64,
     /// Whether it is leaving.
--- a/src/serve/mod.rs
+++ b/src/serve/mod.rs
@@ -13,7 +13,9 @@
 //! | order and resumption of streams | `event` | `relay` |
 //! | items, results, positions | `jobs::Job` | `jobs::Jobs` |
 //! | members, ownership | `member` | `follow` |
+//! | way to the store | `channel` | `channel` |
 
+pub mod channel;
 pub mod configuration;
 pub mod dialect;
 pub mod event;
--- a/src/serve/node.rs
+++ b/src/serve/node.rs
@@ -9,10 +9,11 @@
 use slog::{Logger, o};
 use tokio::net::UdpSocket;
 
+use super::channel::{Channel, Relays};
 use super::dialect::Dialect;
 use super::fleet::Fleet;
 use super::follow::Follower;
-use super::front::Front;
+use super::front::{self, Front};
 use super::jobs::Jobs;
 use super::member::Member;
 use super::peers::Peers;
@@ -59,21 +60,25 @@
     adapt: A,
 ) -> Result<Node>
 where
-    A: FnOnce(&settings::Serve, Arc<dyn Clock>) -> Adapter,
+    A: FnOnce(&settings::Serve, Rc<Channel>) -> Adapter,
 {
     let callers = Listener::bind("caller", settings.caller)?;
     let readiness = Listener::bind("readiness", settings.readiness)?;
     let addresses = Listener::bind("addresses", settings.addresses)?;
+    let relay = Listener::bind("relay", settings.relay)?;
     let refused = |error| Error::new(Kind::Settings, format!("peer: {}: {error}", settings.peer));
     let datagrams = UdpSocket::bind(settings.peer).await.map_err(refused)?;
     let clock: Arc<dyn Clock> = Arc::new(Boot);
-    let adapter = adapt(&settings, clock.clone());
+    let relays = Relays::default();
+    let channel = Rc::new(Channel::new(settings.key_value, clock.clone(), relays.clone()));
+    let adapter = adapt(&settings, channel.clone());
     let member = Member {
         vm: settings.vm.clone(),
         incarnation: rand::random(),
         data_centre: settings.data_centre.clone(),
         caller: callers.address,
         peer: settings.peer,
+        relay: relay.address,
         weight: settings.weight,
         leaving: false,
     };
@@ -81,7 +86,7 @@
     emit!(log, Event::Started, "incarnation" => format!("{:x}", member.incarnation),
         "caller" => callers.address.to_string());
     let fleet = Fleet::new(member, settings, clock, log, adapter.store, adapter.dialect);
-    let peers = Peers::new(fleet.clone(), datagrams);
+    let peers = Peers::new(fleet.clone(), datagrams, relays);
     let jobs = Jobs::new(fleet.clone());
     let follower = Follower::new(fleet.clone(), peers.clone(), jobs.clone());
     let front = Front {
@@ -94,6 +99,7 @@
     front.serve_callers(callers.socket)?;
     front.serve_checks(readiness.socket)?;
     front.serve_checks(addresses.socket)?;
+    front::serve_relay(channel, relay.socket)?;
     actix_rt::spawn(peers.clone().listen(jobs.clone()));
     actix_rt::spawn(peers.clone().announce());
     actix_rt::spawn(follower.clone().run());
--- a/src/serve/peers.rs
+++ b/src/serve/peers.rs
@@ -10,6 +10,7 @@
 use tokio::net::UdpSocket;
 use tokio::sync::oneshot;
 
+use super::channel::Relays;
 use super::configuration::Tenant;
 use super::fleet::Fleet;
 use super::jobs::Jobs;
@@ -62,11 +63,12 @@
     questions: RefCell<HashMap<u64, oneshot::Sender<Grant>>>,
     sequence: Cell<u64>,
     started: Time,
+    relays: Relays,
 }
 
 impl Peers {
     /// Listens on `socket`.
-    pub fn new(fleet: Rc<Fleet>, socket: UdpSocket) -> Rc<Self> {
+    pub fn new(fleet: Rc<Fleet>, socket: UdpSocket, relays: Relays) -> Rc<Self> {
         let started = fleet.now();
         Rc::new(Self {
             fleet,
@@ -75,6 +77,7 @@
             questions: RefCell::default(),
             sequence: Cell::new(0),
             started,
+            relays,
         })
     }
 
@@ -208,6 +211,20 @@
         });
         self.fleet.table.borrow_mut().set_peers(loads);
         self.fleet.work_changed.notify_one();
+        drop(heard);
+        self.choose_relays();
+    }
+
+    /// Lists the VMs that the store answers.
+    fn choose_relays(&self) {
+        let heard = self.heard.borrow();
+        let view = self.fleet.view.borrow();
+        let touched = view.members.iter().map(|listed| &listed.member).filter(|member| {
+            let last = heard.get(&member.vm);
+            last.is_some_and(|last| last.untouched_since.is_none())
+                && !self.silent(&member.vm, SILENT)
+        });
+        *self.relays.borrow_mut() = touched.map(|member| member.relay).collect();
     }
 
     fn grant(&self, ask: &Ask) -> Grant {
--- a/src/settings/serve.rs
+++ b/src/settings/serve.rs
@@ -24,6 +24,8 @@
     pub addresses: SocketAddr,
     /// Address for datagrams of other VMs.
     pub peer: SocketAddr,
+    /// Address for calls to the key-value service that other VMs can't make.
+    pub relay: SocketAddr,
     /// Address of the metrics page; none: no metrics are served.
     #[serde(default)]
     pub metrics: Option<SocketAddr>,
