--- a/src/serve/follow.rs
+++ b/src/serve/follow.rs
@@ -251,9 +251,6 @@
     }
 
     async fn remove_gone(&self) -> Result<()> {
-        if !self.peers.hears_most() {
-            return Ok(());
-        }
         let gone: Vec<member::Listed> = {
             let view = self.fleet.view.borrow();
             let others = view.members.iter().filter(|listed| &listed.member.vm != self.fleet.vm());
--- a/src/serve/jobs/mod.rs
+++ b/src/serve/jobs/mod.rs
@@ -23,6 +23,7 @@
 mod takeover;
 
 pub use archive::Archive;
+pub use dispatch::to_interrupt;
 pub use owner::{Job, Next, Settled, State, Stored, Times};
 pub use record::{Head, Header, Item, Listed, Outcome, PENDING_PREFIX, Pending, Spec};
 pub use run::{Ended, Progress};
--- a/src/serve/node.rs
+++ b/src/serve/node.rs
@@ -1,6 +1,7 @@
 //! The process of one entry VM: start, reload, planned stop.
 
 use std::cell::Cell;
+use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -44,6 +45,10 @@
 
 /// A running entry VM.
 pub struct Node {
+    /// Where callers connect.
+    pub caller: SocketAddr,
+    /// Where callers ask for addresses.
+    pub addresses: SocketAddr,
     fleet: Rc<Fleet>,
     peers: Rc<Peers>,
     jobs: Rc<Jobs>,
@@ -68,6 +73,7 @@
     let relay = Listener::bind("relay", settings.relay)?;
     let refused = |error| Error::new(Kind::Settings, format!("peer: {}: {error}", settings.peer));
     let datagrams = UdpSocket::bind(settings.peer).await.map_err(refused)?;
+    let peer = datagrams.local_addr().map_err(refused)?;
     let clock: Arc<dyn Clock> = Arc::new(Boot);
     let relays = Relays::default();
     let channel = Rc::new(Channel::new(settings.key_value, clock.clone(), relays.clone()));
@@ -77,7 +83,7 @@
         incarnation: rand::random(),
         data_centre: settings.data_centre.clone(),
         caller: callers.address,
-        peer: settings.peer,
+        peer,
         relay: relay.address,
         weight: settings.weight,
         leaving: false,
@@ -104,7 +110,16 @@
     actix_rt::spawn(peers.clone().announce());
     actix_rt::spawn(follower.clone().run());
     actix_rt::spawn(jobs.clone().dispatch());
-    Ok(Node { fleet, peers, jobs, follower, front, path })
+    Ok(Node {
+        caller: callers.address,
+        addresses: addresses.address,
+        fleet,
+        peers,
+        jobs,
+        follower,
+        front,
+        path,
+    })
 }
 
 impl Node {
--- a/src/serve/peers.rs
+++ b/src/serve/peers.rs
@@ -34,7 +34,9 @@
 /// Silence after which a peer's load isn't counted and callers aren't sent to it.
 const SILENT: Duration = Duration::from_millis(1_200);
 /// Silence after which a peer's entry is removed from the store.
-pub const GONE: Duration = Duration::from_millis(2_200);
+const GONE: Duration = Duration::from_millis(2_200);
+/// The same, while most other peers are silent too.
+const GONE_IF_ALONE: Duration = Duration::from_millis(6_600);
 /// Age of the store's last answer from which a VM says that it is out of touch.
 const OUT_OF_TOUCH: Duration = Duration::from_millis(2_000);
 /// Time out of touch after which a peer's entry is removed, if others can.
@@ -308,14 +310,16 @@
     }
 
     /// Whether a VM should no longer be listed: it is silent, or has been without
-    /// contact with the store for a while.
+    /// contact with the store for a while. Where this VM hears less than half of
+    /// the others it may itself be cut off, and waits longer.
     pub fn gone(&self, member: &Member) -> bool {
         let heard = self.heard.borrow();
         let untouched_since = heard.get(&member.vm).and_then(|heard| heard.untouched_since);
         drop(heard);
         let untouched = untouched_since
             .is_some_and(|since| since.after(REMOVE_OUT_OF_TOUCH).passed(self.fleet.now()));
-        untouched || self.silent(&member.vm, GONE)
+        let patience = if self.hears_most() { GONE } else { GONE_IF_ALONE };
+        untouched || self.silent(&member.vm, patience)
     }
 
     /// Whether a peer said that it takes callers, and was heard lately.
--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod engine;
 pub mod faults;
 pub mod kv;
+pub mod machines;
 pub mod plain;
 pub mod record;
 pub mod server;
--- /dev/null
+++ b/standins/src/machines/mod.rs
@@ -0,0 +1,5 @@
+//! The users' new machines: their key-value service and their replicas, as
+//! their protocol page describes them.
+
+pub mod replica;
+pub mod store;
--- /dev/null
+++ b/standins/src/machines/store.rs
@@ -0,0 +1,174 @@
+//! The key-value service of the users' machines.
+//!
+//! Beside the common faults it can apply a write without answering
+//! (`lose_replies`) and be down (`outage`).
+
+use std::collections::BTreeMap;
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use actix_web::HttpResponse;
+use actix_web::web::{self, Data, Json, Query, ServiceConfig};
+use base64::Engine;
+use base64::engine::general_purpose::STANDARD;
+use parking_lot::Mutex;
+use serde::{Deserialize, Serialize};
+use serde_json::json;
+
+use crate::server::{Lifeline, Running, Service};
+
+/// Most items of one page.
+const PAGE_ITEMS: usize = 500;
+
+/// A stored key.
+#[derive(Clone, Debug, Serialize)]
+pub struct Item {
+    key: String,
+    value: String,
+    revision: u64,
+    created: u64,
+    lease: u64,
+}
+
+/// All keys.
+#[derive(Debug, Default)]
+pub struct Keys {
+    revision: u64,
+    items: BTreeMap<String, Item>,
+}
+
+/// The state, shared with whoever tests against it.
+pub type Shared = Arc<Mutex<Keys>>;
+
+impl Keys {
+    /// Writes a key as the operator or a replica does.
+    pub fn put(&mut self, key: &str, value: &[u8]) {
+        self.revision += 1;
+        let created = self.items.get(key).map_or(self.revision, |item| item.created);
+        let (key, value) = (key.to_owned(), STANDARD.encode(value));
+        let item = Item { key: key.clone(), value, revision: self.revision, created, lease: 0 };
+        self.items.insert(key, item);
+    }
+
+    /// Deletes a key.
+    pub fn delete(&mut self, key: &str) {
+        self.revision += 1;
+        self.items.remove(key);
+    }
+
+    /// The value of a key.
+    pub fn get(&self, key: &str) -> Option<Vec<u8>> {
+        STANDARD.decode(&self.items.get(key)?.value).ok()
+    }
+
+    /// All keys under a prefix.
+    pub fn keys(&self, prefix: &str) -> Vec<String> {
+        self.items.keys().filter(|key| key.starts_with(prefix)).cloned().collect()
+    }
+}
+
+#[derive(Deserialize)]
+struct KeyQuery {
+    key: String,
+}
+
+#[derive(Deserialize)]
+struct RangeQuery {
+    #[serde(default)]
+    path_prefix: String,
+    #[serde(default)]
+    after: String,
+}
+
+#[derive(Deserialize)]
+struct Transaction {
+    expected_revision: Vec<Expected>,
+    puts: Vec<Put>,
+    remove: Vec<String>,
+}
+
+#[derive(Deserialize)]
+struct Expected {
+    key: String,
+    revision: u64,
+}
+
+#[derive(Deserialize)]
+struct Put {
+    key: String,
+    value: String,
+}
+
+struct KeyValue(Shared);
+
+impl Service for KeyValue {
+    fn configure(&self, config: &mut ServiceConfig) {
+        config
+            .app_data(Data::from(self.0.clone()))
+            .route("/-/kv-key", web::get().to(key))
+            .route("/-/kv-range", web::get().to(range))
+            .route("/-/kv-txn", web::post().to(transaction));
+    }
+
+    fn loses(&self, path: &str) -> bool {
+        path == "/-/kv-txn"
+    }
+}
+
+/// Starts it at `listen`.
+pub fn start(listen: SocketAddr) -> io::Result<(Running, Shared)> {
+    let shared = Shared::default();
+    let running = Running::start(listen, KeyValue(shared.clone()), Arc::<Lifeline>::default())?;
+    Ok((running, shared))
+}
+
+async fn key(keys: Data<Mutex<Keys>>, query: Query<KeyQuery>) -> HttpResponse {
+    let keys = keys.lock();
+    let Some(item) = keys.items.get(&query.key) else { return HttpResponse::NotFound().finish() };
+    let mut value = serde_json::to_value(item).unwrap_or_default();
+    value["store_revision"] = json!(keys.revision);
+    HttpResponse::Ok().json(value)
+}
+
+async fn range(keys: Data<Mutex<Keys>>, query: Query<RangeQuery>) -> HttpResponse {
+    let keys = keys.lock();
+    let matching: Vec<&Item> = keys
+        .items
+        .values()
+        .filter(|item| item.key.starts_with(&query.path_prefix) && item.key > query.after)
+        .collect();
+    let more = matching.len() > PAGE_ITEMS;
+    let items: Vec<&Item> = matching.into_iter().take(PAGE_ITEMS).collect();
+    HttpResponse::Ok()
+        .json(json!({ "items": items, "has_more": more, "store_revision": keys.revision }))
+}
+
+async fn transaction(keys: Data<Mutex<Keys>>, call: Json<Transaction>) -> HttpResponse {
+    let mut keys = keys.lock();
+    let stands = |expected: &Expected| {
+        keys.items.get(&expected.key).map_or(0, |item| item.revision) == expected.revision
+    };
+    if !call.expected_revision.iter().all(stands) {
+        let current = call.expected_revision.iter().filter_map(|one| keys.items.get(&one.key));
+        let current: Vec<&Item> = current.collect();
+        return HttpResponse::PreconditionFailed().json(json!({ "items": current }));
+    }
+    let forbidden = |key: &str| key.starts_with("op/") || key.starts_with("servers/");
+    if call.puts.iter().any(|put| forbidden(&put.key))
+        || call.remove.iter().any(|key| forbidden(key))
+    {
+        return HttpResponse::Forbidden().finish();
+    }
+    keys.revision += 1;
+    let revision = keys.revision;
+    for put in &call.puts {
+        let created = keys.items.get(&put.key).map_or(revision, |item| item.created);
+        let (key, value) = (put.key.clone(), put.value.clone());
+        keys.items.insert(key.clone(), Item { key, value, revision, created, lease: 0 });
+    }
+    for key in &call.remove {
+        keys.items.remove(key);
+    }
+    HttpResponse::Ok().json(json!({ "revision": revision }))
+}
--- /dev/null
+++ b/tests/serve_place.rs
@@ -0,0 +1,138 @@
+//! Placement on the heaviest days: which upstream, and what expects to be late.
+
+use std::time::Duration;
+
+use parsleybeam::clock::Time;
+use parsleybeam::id::{DataCentre, Service, Upstream};
+use parsleybeam::serve::jobs::to_interrupt;
+use parsleybeam::serve::place::{self, Wish};
+use parsleybeam::serve::store::Registration;
+use parsleybeam::serve::upstream::{Load, PeerLoad, Table, number};
+
+const NOW: Time = Time(10_000_000);
+
+fn registration(name: &str, data_centre: &str) -> Registration {
+    Registration {
+        upstream: Upstream::from(name),
+        service: Service::from("text"),
+        address: "127.0.0.1:1".parse().expect("an address"),
+        data_centre: DataCentre::from(data_centre),
+        slots: 8,
+        draining: false,
+        started_unix_ms: 1,
+    }
+}
+
+fn table(names: &[&str]) -> Table {
+    let mut table = Table::default();
+    let all: Vec<_> = names.iter().map(|name| registration(name, "porto")).collect();
+    table.replace(&all, false, NOW);
+    table
+}
+
+fn peer(name: &str, online: u32, batch: u32) -> PeerLoad {
+    let upstream = number(&Upstream::from(name));
+    PeerLoad { upstream, load: Load { online, batch }, first: true }
+}
+
+struct Place {
+    service: Service,
+    data_centre: DataCentre,
+}
+
+impl Place {
+    fn new() -> Self {
+        Self { service: Service::from("text"), data_centre: DataCentre::from("porto") }
+    }
+
+    fn wish<'a>(&'a self, tried: &'a [Upstream]) -> Wish<'a> {
+        Wish { service: &self.service, data_centre: &self.data_centre, tried, draw: 0 }
+    }
+
+    fn online(&self, table: &Table) -> Option<(String, f64)> {
+        let choice = place::online(table, self.wish(&[]), NOW)?;
+        let entry = table.get(choice.key).expect("it is listed");
+        Some((entry.registration.upstream.to_string(), choice.expected_ms))
+    }
+}
+
+#[test]
+fn online_counts_other_vms() {
+    let mut table = table(&["a", "b", "c"]);
+    table.set_peers([peer("a", 8, 0), peer("b", 5, 0), peer("c", 7, 0)]);
+    let (chosen, _) = Place::new().online(&table).expect("one is usable");
+    assert_eq!(chosen, "b");
+}
+
+#[test]
+fn online_goes_where_batch_makes_room() {
+    let mut table = table(&["a", "b"]);
+    table.set_peers([peer("a", 8, 0), peer("b", 2, 6)]);
+    let (chosen, expected_ms) = Place::new().online(&table).expect("one is usable");
+    assert_eq!(chosen, "b");
+    assert!(expected_ms < 100.0, "an interruption is short: {expected_ms} ms");
+}
+
+#[test]
+fn online_expects_turns_of_full_upstreams() {
+    let mut table = table(&["a"]);
+    table.set_peers([peer("a", 12, 0)]);
+    let (_, expected_ms) = Place::new().online(&table).expect("one is usable");
+    assert!(expected_ms > 300.0, "five must end first: {expected_ms} ms");
+}
+
+#[test]
+fn online_passes_over_failed_and_leaving() {
+    let mut table = table(&["a"]);
+    let key = table.iter().next().expect("one").0;
+    table.failed(key, NOW);
+    assert_eq!(Place::new().online(&table), None);
+    let mut leaving = registration("b", "porto");
+    leaving.draining = true;
+    table.replace(&[registration("a", "porto"), leaving], false, NOW);
+    assert_eq!(Place::new().online(&table), None);
+    let later = NOW.after(Duration::from_secs(10));
+    assert!(place::online(&table, Place::new().wish(&[]), later).is_some());
+}
+
+#[test]
+fn online_restarted_upstream_is_new() {
+    let mut table = table(&["a"]);
+    let key = table.iter().next().expect("one").0;
+    table.failed(key, NOW);
+    let restarted = Registration { started_unix_ms: 2, ..registration("a", "porto") };
+    table.replace(&[restarted], false, NOW);
+    assert!(Place::new().online(&table).is_some());
+}
+
+#[test]
+fn batch_keeps_reserve() {
+    let mut table = table(&["a", "b"]);
+    table.set_peers([peer("a", 4, 3), peer("b", 6, 0)]);
+    let place = Place::new();
+    let key = place::batch(&table, place.wish(&[]), 1, NOW).expect("b has room");
+    assert_eq!(table.get(key).expect("listed").registration.upstream, Upstream::from("b"));
+    table.set_peers([peer("a", 4, 3), peer("b", 7, 0)]);
+    assert_eq!(place::batch(&table, place.wish(&[]), 1, NOW), None);
+}
+
+#[test]
+fn replace_outage_keeps_missing_for_a_while() {
+    let mut table = table(&["a", "b"]);
+    let one = [registration("a", "porto")];
+    table.replace(&one, true, NOW);
+    assert_eq!(table.iter().count(), 2, "b may only have lapsed");
+    table.replace(&one, false, NOW.after(Duration::from_millis(2_500)));
+    assert_eq!(table.iter().count(), 1, "b is gone");
+    table.replace(&[], false, NOW.after(Duration::from_secs(4)));
+    assert_eq!(table.iter().count(), 0, "no outage, no grace");
+}
+
+#[test]
+fn to_interrupt_in_order_of_names() {
+    // Ten requests on eight slots: the first VM's one item goes, then one of ours.
+    assert_eq!(to_interrupt(10, 8, 0, 1), 1);
+    assert_eq!(to_interrupt(10, 8, 1, 3), 1);
+    assert_eq!(to_interrupt(10, 8, 2, 3), 0);
+    assert_eq!(to_interrupt(8, 8, 0, 5), 0);
+}
--- /dev/null
+++ b/tests/serve_rate.rs
@@ -0,0 +1,286 @@
+//! Rates over all VMs: the bound holds through lost, cut off, suspended and
+//! restarted VMs, and what is within the rate is seldom refused.
+
+use std::time::Duration;
+
+use parsleybeam::clock::Time;
+use parsleybeam::id::{Organisation, Vm};
+use parsleybeam::serve::configuration::Tenant;
+use parsleybeam::serve::member::{Listed, Member, owner};
+use parsleybeam::serve::rate::{Bucket, Grant, Inheritance, Ledger, Tolerance};
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+const TOLERANCE: Tolerance = Tolerance { window_s: 5.0, overrun: 0.1, slack: 20.0 };
+const POLL: Duration = Duration::from_millis(900);
+const STEP: Duration = Duration::from_millis(10);
+
+fn tenant(rate_per_s: f64, burst: f64) -> Tenant {
+    let organisation = Organisation::from("large");
+    Tenant { organisation, keys: Vec::new(), rate_per_s, burst }
+}
+
+fn member(index: usize, incarnation: u64) -> Member {
+    let address = "127.0.0.1:1".parse().expect("an address");
+    Member {
+        vm: Vm::from(format!("vm-{index}")),
+        incarnation,
+        data_centre: "porto".into(),
+        caller: address,
+        peer: address,
+        relay: address,
+        weight: 1.0,
+        leaving: false,
+    }
+}
+
+struct Process {
+    ledger: Ledger,
+    list: Vec<Listed>,
+    next_poll: Time,
+    /// The store isn't reached before this time.
+    cut_until: Time,
+    /// It doesn't run before this time.
+    down_until: Time,
+    inheritance: Inheritance,
+    fresh: bool,
+}
+
+struct World {
+    now: Time,
+    random: ChaCha8Rng,
+    tenant: Tenant,
+    members: Vec<Listed>,
+    version: u64,
+    processes: Vec<Process>,
+    granted: Vec<Time>,
+    refused: u64,
+}
+
+impl World {
+    fn new(seed: u64, count: usize, tenant: Tenant) -> Self {
+        let now = Time(1_000_000);
+        let process = |index: usize| Process {
+            ledger: Ledger::new(Vm::from(format!("vm-{index}")), TOLERANCE),
+            list: Vec::new(),
+            next_poll: now,
+            cut_until: now,
+            down_until: now,
+            inheritance: Inheritance::None,
+            fresh: true,
+        };
+        Self {
+            now,
+            random: ChaCha8Rng::seed_from_u64(seed),
+            tenant,
+            members: Vec::new(),
+            version: 1,
+            processes: (0..count).map(process).collect(),
+            granted: Vec::new(),
+            refused: 0,
+        }
+    }
+
+    fn step(&mut self) {
+        self.now = self.now.after(STEP);
+        for index in 0..self.processes.len() {
+            let process = &self.processes[index];
+            if process.down_until.passed(self.now) && process.next_poll.passed(self.now) {
+                self.poll(index);
+            }
+        }
+    }
+
+    fn poll(&mut self, index: usize) {
+        let now = self.now;
+        self.processes[index].next_poll = now.after(POLL);
+        if !self.processes[index].cut_until.passed(now) {
+            return;
+        }
+        let vm = Vm::from(format!("vm-{index}"));
+        let listed = self.members.iter().any(|listed| listed.member.vm == vm);
+        let process = &mut self.processes[index];
+        if process.fresh {
+            process.fresh = false;
+            process.inheritance = if listed { Inheritance::Crashed } else { Inheritance::None };
+        }
+        if !listed {
+            self.version += 1;
+            let member = member(index, self.version);
+            self.members.push(Listed { member, version: self.version });
+        }
+        process.list = self.members.clone();
+        let tenants = [self.tenant.clone()];
+        process.ledger.update(&self.members, &tenants, process.inheritance, now, now);
+    }
+
+    /// One request at a VM that runs.
+    fn ask(&mut self, index: usize) {
+        let now = self.now;
+        if !self.processes[index].down_until.passed(now) {
+            return;
+        }
+        let tenant = self.tenant.clone();
+        let process = &mut self.processes[index];
+        if process.ledger.spend_piece(&tenant, now) == Grant::Granted {
+            return self.granted.push(now);
+        }
+        let holder = owner(&process.list, "large").map(|member| member.vm.clone());
+        let holder = holder.and_then(|vm| vm.as_str().strip_prefix("vm-")?.parse::<usize>().ok());
+        let answer = holder
+            .filter(|holder| self.processes[*holder].down_until.passed(now))
+            .map(|holder| self.processes[holder].ledger.grant(&tenant, now));
+        let answer = match answer {
+            Some(Grant::NotHolder) | None => {
+                self.processes[index].ledger.spend_reserve(&tenant, now)
+            }
+            Some(answer) => answer,
+        };
+        match answer {
+            Grant::Granted => self.granted.push(now),
+            Grant::Exceeded(_) | Grant::NotHolder => self.refused += 1,
+        }
+    }
+
+    fn remove(&mut self, index: usize) {
+        let vm = Vm::from(format!("vm-{index}"));
+        self.members.retain(|listed| listed.member.vm != vm);
+    }
+
+    /// Most requests granted in any window of the bound.
+    fn most_in_window(&self) -> usize {
+        let window = Duration::from_secs_f64(TOLERANCE.window_s);
+        let mut most = 0;
+        let mut first = 0;
+        for (last, at) in self.granted.iter().enumerate() {
+            while self.granted[first].after(window).passed(*at) {
+                first += 1;
+            }
+            most = most.max(last + 1 - first);
+        }
+        most
+    }
+
+    fn bound(&self) -> f64 {
+        let within = self.tenant.rate_per_s * TOLERANCE.window_s + self.tenant.burst;
+        within * (1.0 + TOLERANCE.overrun) + TOLERANCE.slack
+    }
+}
+
+#[test]
+fn take_many_times_the_rate_under_faults() {
+    for seed in 0..60 {
+        let mut world = World::new(seed, 7, tenant(35.0, 35.0));
+        for step in 0..6_000 {
+            world.step();
+            for _ in 0..3 {
+                let index = world.random.random_range(0..7);
+                world.ask(index);
+            }
+            if step % 150 == 0 {
+                fault(&mut world);
+            }
+        }
+        let most = world.most_in_window() as f64;
+        assert!(most <= world.bound(), "seed {seed}: {most} of {}", world.bound());
+    }
+}
+
+/// One VM is cut off, taken off the list, suspended, or restarted.
+fn fault(world: &mut World) {
+    let index = world.random.random_range(0..7);
+    let span = Duration::from_millis(world.random.random_range(500..9_000));
+    let until = world.now.after(span);
+    match world.random.random_range(0..4) {
+        0 => world.processes[index].cut_until = until,
+        1 => {
+            world.processes[index].cut_until = until;
+            world.remove(index);
+        }
+        2 => world.processes[index].down_until = until,
+        _ => {
+            let process = &mut world.processes[index];
+            process.ledger = Ledger::new(Vm::from(format!("vm-{index}")), TOLERANCE);
+            process.fresh = true;
+            process.next_poll = world.now;
+        }
+    }
+}
+
+/// The share refused of what one bucket for all VMs would have granted. The
+/// users' usual load is 1 / 1.6 of the rate.
+fn refused_share(mut world: World, mut at: impl FnMut(&mut World, usize)) -> f64 {
+    for _ in 0..1_000 {
+        world.step();
+    }
+    let count = world.processes.len();
+    let Tenant { rate_per_s, burst, .. } = world.tenant;
+    let chance = rate_per_s / 1.6 * STEP.as_secs_f64();
+    let mut ideal = Bucket::new(burst, world.now);
+    let (mut within, mut refused) = (0, 0);
+    for step in 0..4_000 {
+        world.step();
+        at(&mut world, step);
+        if world.random.random_bool(chance) {
+            let index = world.random.random_range(0..count);
+            let before = world.refused;
+            world.ask(index);
+            if ideal.take(rate_per_s, burst, world.now).is_ok() {
+                within += 1;
+                refused += world.refused - before;
+            }
+        }
+    }
+    refused as f64 / f64::from(within)
+}
+
+#[test]
+fn take_within_the_rate() {
+    for (rate, burst) in [(35.0, 35.0), (4.0, 4.0)] {
+        let share = refused_share(World::new(1, 7, tenant(rate, burst)), |_, _| {});
+        assert!(share <= 0.001, "{share} of the requests within a rate of {rate} are refused");
+    }
+}
+
+#[test]
+fn take_within_the_rate_holder_lost() {
+    let share = refused_share(World::new(2, 7, tenant(35.0, 35.0)), |world, step| {
+        if step == 500 {
+            let holder = owner(&world.members, "large").expect("there are members");
+            let index: usize = holder.vm.as_str()[3..].parse().expect("a number");
+            world.processes[index].down_until = Time::NEVER;
+        }
+        if step == 720 {
+            let down = |process: &Process| process.down_until == Time::NEVER;
+            let index = world.processes.iter().position(down).expect("the holder is down");
+            world.remove(index);
+        }
+    });
+    assert!(share <= 0.02, "{share} of the requests within the rate are refused");
+}
+
+#[test]
+fn grant_stale_list() {
+    let tenant = tenant(10.0, 10.0);
+    let listed = Listed { member: member(0, 1), version: 2 };
+    let mut ledger = Ledger::new(Vm::from("vm-0"), TOLERANCE);
+    let now = Time(1_000_000);
+    ledger.update(&[listed], std::slice::from_ref(&tenant), Inheritance::Crashed, now, now);
+    let soon = now.after(Duration::from_secs(2));
+    assert_eq!(ledger.grant(&tenant, soon), Grant::Granted);
+    let late = now.after(Duration::from_secs(3));
+    assert_eq!(ledger.grant(&tenant, late), Grant::NotHolder);
+    let later = now.after(Duration::from_secs(5));
+    assert_eq!(ledger.spend_piece(&tenant, later), Grant::NotHolder);
+}
+
+#[test]
+fn grant_resigned() {
+    let tenant = tenant(10.0, 10.0);
+    let listed = Listed { member: member(0, 1), version: 2 };
+    let mut ledger = Ledger::new(Vm::from("vm-0"), TOLERANCE);
+    let now = Time(1_000_000);
+    ledger.update(&[listed], std::slice::from_ref(&tenant), Inheritance::Crashed, now, now);
+    ledger.resign();
+    assert_eq!(ledger.grant(&tenant, now.after(Duration::from_secs(1))), Grant::NotHolder);
+}
