Share reads of the store, ask owners for results, write results together

Every VM read everything each 0.9 s, every reader's VM asked the store for results, and each result was a write of its own. What was changed: in fleets of more than 14 VMs two VMs of each data centre read, the others ask one of them (answers carry their age); results are asked of a job's owner while its view is fresh; a write waits 0.7 s for further results unless the job is complete or nearly due. Ruled out: sharing reads in small fleets: two polls would not fit into 2 s. Also: the load of a peer was dropped between two messages of a large fleet (1.25 s apart, counted for 1.2 s); they are at most 0.5 s apart now.

--- a/src/serve/follow.rs
+++ b/src/serve/follow.rs
@@ -12,6 +12,7 @@
 use super::member::{self, MEMBER_PREFIX, Member, owner};
 use super::peers::Peers;
 use super::rate::Inheritance;
+use super::shared::Shared;
 use super::store::{Commit, Expectation, Snapshot, Transaction};
 use crate::clock::Time;
 use crate::emit;
@@ -34,6 +35,7 @@
     fleet: Rc<Fleet>,
     peers: Rc<Peers>,
     jobs: Rc<Jobs>,
+    shared: Rc<Shared>,
     state: std::cell::RefCell<State>,
 }
 
@@ -49,8 +51,8 @@
 
 impl Follower {
     /// Follows the store for `fleet`.
-    pub fn new(fleet: Rc<Fleet>, peers: Rc<Peers>, jobs: Rc<Jobs>) -> Rc<Self> {
-        Rc::new(Self { fleet, peers, jobs, state: Default::default() })
+    pub fn new(fleet: Rc<Fleet>, peers: Rc<Peers>, jobs: Rc<Jobs>, shared: Rc<Shared>) -> Rc<Self> {
+        Rc::new(Self { fleet, peers, jobs, shared, state: Default::default() })
     }
 
     /// Reads the store for ever.
@@ -58,11 +60,11 @@
         let mut pause = RETRY;
         loop {
             let asked = self.fleet.now();
-            match self.fleet.store.snapshot().await {
-                Ok(snapshot) => {
-                    self.adopt(snapshot, asked).await;
+            match self.shared.read().await {
+                Ok((snapshot, confirms)) => {
+                    self.adopt(snapshot, confirms).await;
                     pause = RETRY;
-                    let poll = self.fleet.settings().bounds.poll();
+                    let poll = self.shared.pause(self.fleet.settings().bounds.poll());
                     tokio::time::sleep(self.fleet.now().until(asked.after(poll))).await;
                 }
                 Err(error) => {
--- a/src/serve/front.rs
+++ b/src/serve/front.rs
@@ -17,7 +17,6 @@
 use http::{HeaderMap, HeaderName, HeaderValue, Method};
 use tokio::net::TcpListener;
 
-use super::channel::Channel;
 use super::configuration::Kind as RouteKind;
 use super::dialect::Arrival;
 use super::exchange::{self, Body, Reply};
@@ -33,7 +32,7 @@
 /// Pause after a connection could not be accepted.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 /// Largest body that is read before a configuration is known, in bytes.
-const MAX_BODY_BYTES: usize = 16 << 20;
+pub(super) const MAX_BODY_BYTES: usize = 16 << 20;
 /// Lifetime of an answer with addresses, in milliseconds.
 const ADDRESSES_LIFETIME_MS: u64 = 2_000;
 /// Most addresses in one answer.
@@ -215,40 +214,8 @@
     }
 }
 
-/// Serves calls to the store that other VMs can't make themselves.
-pub fn serve_relay(channel: Rc<Channel>, socket: std::net::TcpListener) -> Result<()> {
-    listen(socket, move |config| {
-        let channel = channel.clone();
-        config.default_service(web::to(move |request: HttpRequest, payload: web::Payload| {
-            let channel = channel.clone();
-            async move { pass_on(&channel, request, payload).await }
-        }));
-    })
-}
-
-async fn pass_on(channel: &Channel, request: HttpRequest, payload: web::Payload) -> HttpResponse {
-    let Ok(body) = read(payload, MAX_BODY_BYTES).await else {
-        return HttpResponse::BadRequest().finish();
-    };
-    let mut passed = http::Request::new(body);
-    let method = Method::from_bytes(request.method().as_str().as_bytes());
-    let target = request.uri().to_string().parse();
-    let (Ok(method), Ok(target)) = (method, target) else {
-        return HttpResponse::BadRequest().finish();
-    };
-    *passed.method_mut() = method;
-    *passed.uri_mut() = target;
-    let mut headers = copy_headers(&request);
-    headers.remove(http::header::CONTENT_LENGTH);
-    headers.remove(http::header::TRANSFER_ENCODING);
-    *passed.headers_mut() = headers;
-    let (status, body) = channel.pass_on(passed).await;
-    let status = actix_web::http::StatusCode::from_u16(status.as_u16());
-    HttpResponse::build(status.unwrap_or(actix_web::http::StatusCode::BAD_GATEWAY)).body(body)
-}
-
 /// Serves HTTP on this thread until the process ends.
-fn listen<C>(socket: std::net::TcpListener, configure: C) -> Result<()>
+pub(super) fn listen<C>(socket: std::net::TcpListener, configure: C) -> Result<()>
 where
     C: Fn(&mut web::ServiceConfig) + Clone + 'static,
 {
@@ -304,7 +271,7 @@
     }
 }
 
-fn copy_headers(request: &HttpRequest) -> HeaderMap {
+pub(super) fn copy_headers(request: &HttpRequest) -> HeaderMap {
     let mut headers = HeaderMap::new();
     for (name, value) in request.headers() {
         let name = HeaderName::from_bytes(name.as_str().as_bytes());
@@ -335,7 +302,7 @@
     }
 }
 
-async fn read(mut payload: web::Payload, limit: usize) -> Result<Bytes> {
+pub(super) async fn read(mut payload: web::Payload, limit: usize) -> Result<Bytes> {
     let mut body = BytesMut::new();
     while let Some(chunk) = payload.next().await {
         let chunk = chunk
--- /dev/null
+++ b/src/serve/inner.rs
@@ -0,0 +1,83 @@
+//! The HTTP server for other VMs of the fleet.
+//!
+//! It gives them the last read of the store and results of jobs owned here,
+//! and passes on calls that the store turns away from them.
+
+use std::rc::Rc;
+
+use actix_web::{HttpRequest, HttpResponse, web};
+use http::Method;
+
+use super::channel::Channel;
+use super::fleet::Fleet;
+use super::front::{MAX_BODY_BYTES, copy_headers, listen, read};
+use super::jobs::Jobs;
+use super::shared::{self, RESULTS_PATH, SNAPSHOT_PATH, Shared};
+use crate::error::Result;
+
+/// What the server needs.
+#[derive(Clone)]
+pub struct Inner {
+    /// The way to the store.
+    pub channel: Rc<Channel>,
+    /// The last read of the store.
+    pub shared: Rc<Shared>,
+    /// The surroundings.
+    pub fleet: Rc<Fleet>,
+    /// Jobs owned here.
+    pub jobs: Rc<Jobs>,
+}
+
+impl Inner {
+    /// Serves other VMs until the process ends.
+    pub fn serve(self, socket: std::net::TcpListener) -> Result<()> {
+        listen(socket, move |config| {
+            let inner = self.clone();
+            config.default_service(web::to(move |request: HttpRequest, payload: web::Payload| {
+                let inner = inner.clone();
+                async move { inner.answer(request, payload).await }
+            }));
+        })
+    }
+
+    async fn answer(&self, request: HttpRequest, payload: web::Payload) -> HttpResponse {
+        let path = request.path();
+        if path == SNAPSHOT_PATH {
+            return found(self.shared.last());
+        }
+        if let Some(rest) = path.strip_prefix(RESULTS_PATH) {
+            return found(self.results(rest));
+        }
+        self.pass_on(request, payload).await
+    }
+
+    fn results(&self, rest: &str) -> Option<Vec<u8>> {
+        let (job, after) = rest.rsplit_once('/')?;
+        shared::owned_results(&self.fleet, &self.jobs, job, after.parse().ok()?).ok()
+    }
+
+    async fn pass_on(&self, request: HttpRequest, payload: web::Payload) -> HttpResponse {
+        let Ok(body) = read(payload, MAX_BODY_BYTES).await else {
+            return HttpResponse::BadRequest().finish();
+        };
+        let mut passed = http::Request::new(body);
+        let method = Method::from_bytes(request.method().as_str().as_bytes());
+        let target = request.uri().to_string().parse();
+        let (Ok(method), Ok(target)) = (method, target) else {
+            return HttpResponse::BadRequest().finish();
+        };
+        *passed.method_mut() = method;
+        *passed.uri_mut() = target;
+        let mut headers = copy_headers(&request);
+        headers.remove(http::header::CONTENT_LENGTH);
+        headers.remove(http::header::TRANSFER_ENCODING);
+        *passed.headers_mut() = headers;
+        let (status, body) = self.channel.pass_on(passed).await;
+        let status = actix_web::http::StatusCode::from_u16(status.as_u16());
+        HttpResponse::build(status.unwrap_or(actix_web::http::StatusCode::BAD_GATEWAY)).body(body)
+    }
+}
+
+fn found(body: Option<Vec<u8>>) -> HttpResponse {
+    body.map_or_else(|| HttpResponse::NotFound().finish(), |body| HttpResponse::Ok().body(body))
+}
--- a/src/serve/jobs/archive.rs
+++ b/src/serve/jobs/archive.rs
@@ -15,6 +15,7 @@
 use crate::clock::Time;
 use crate::error::{Error, Kind, Result};
 use crate::serve::fleet::Fleet;
+use crate::serve::shared;
 
 /// Time for which a read of a job's results stands.
 const READ_STANDS: Duration = Duration::from_millis(300);
@@ -72,7 +73,7 @@
         if whole || !known.read.after(READ_STANDS).passed(asked) {
             return Ok(known.results);
         }
-        let fresh = self.read_results(job, known.results.len()).await?;
+        let fresh = self.fresh_results(job, known.results.len()).await?;
         let mut kept = self.kept.borrow_mut();
         let kept = kept.entry(job.to_owned()).or_insert(known);
         for (position, listed) in fresh {
@@ -84,6 +85,14 @@
         Ok(kept.results.clone())
     }
 
+    /// New results, from the job's owner if it can be sure, else from the store.
+    async fn fresh_results(&self, job: &str, from: usize) -> Result<Vec<(usize, Listed)>> {
+        match shared::ask_owner(&self.fleet, job, from).await {
+            Some(answer) => Ok((from..).zip(answer.results).collect()),
+            None => self.read_results(job, from).await,
+        }
+    }
+
     async fn read_results(&self, job: &str, from: usize) -> Result<Vec<(usize, Listed)>> {
         let mut results = Vec::new();
         loop {
--- a/src/serve/jobs/owner.rs
+++ b/src/serve/jobs/owner.rs
@@ -16,6 +16,10 @@
 const RETRY_AFTER_BREAK: Duration = Duration::from_millis(100);
 /// Longest wait between attempts.
 const MAX_RETRY: Duration = Duration::from_secs(3);
+/// Wait for further results before a write, since each write has its price.
+const WRITE_PAUSE: Duration = Duration::from_millis(700);
+/// Time before a job is due from which its results are written at once.
+const NEARLY_DUE: Duration = Duration::from_secs(3);
 /// Most results in one write.
 const MAX_RESULTS: usize = 16;
 /// Most bytes of results in one write.
@@ -215,6 +219,16 @@
         self.writing.clone().map(|batch| (self.results.len(), batch))
     }
 
+    /// How long to wait for further results before a write: none is waited for
+    /// once all are there or the job is nearly due.
+    pub fn write_pause(&self, now: Time) -> Duration {
+        let open = |state: &State| matches!(state, State::Waiting { .. } | State::Running);
+        if !self.states.iter().any(open) || now.after(NEARLY_DUE) >= self.due {
+            return Duration::ZERO;
+        }
+        WRITE_PAUSE
+    }
+
     /// Whether the write under way stores the last results.
     pub fn finishes(&self) -> bool {
         let writing = self.writing.as_ref().map_or(0, Vec::len);
--- a/src/serve/jobs/shell.rs
+++ b/src/serve/jobs/shell.rs
@@ -216,7 +216,9 @@
         }
         entry.flushing = true;
         let (jobs, id) = (self.clone(), id.to_owned());
+        let pause = entry.job.write_pause(self.fleet.now());
         actix_rt::spawn(async move {
+            tokio::time::sleep(pause).await;
             while jobs.store_results(&id).await {}
             if let Some(entry) = jobs.owned.borrow_mut().get_mut(&id) {
                 entry.flushing = false;
--- a/src/serve/member.rs
+++ b/src/serve/member.rs
@@ -74,7 +74,8 @@
         .max_by_key(|member| rank(&member.vm, name))
 }
 
-fn rank(vm: &Vm, name: &str) -> u64 {
+/// Position of a VM in the order for `name`, the same on every VM.
+pub fn rank(vm: &Vm, name: &str) -> u64 {
     use std::hash::Hasher;
     let mut hasher = siphasher::sip::SipHasher13::new();
     hasher.write(vm.as_str().as_bytes());
--- a/src/serve/mod.rs
+++ b/src/serve/mod.rs
@@ -13,7 +13,7 @@
 //! | order and resumption of streams | `event` | `relay` |
 //! | items, results, positions | `jobs::Job` | `jobs::Jobs` |
 //! | members, ownership | `member` | `follow` |
-//! | way to the store | `channel` | `channel` |
+//! | way to the store | `channel` | `channel`, `shared` |
 
 pub mod channel;
 pub mod configuration;
@@ -23,6 +23,7 @@
 pub mod fleet;
 pub mod follow;
 pub mod front;
+pub mod inner;
 pub mod jobs;
 pub mod member;
 pub mod node;
@@ -32,5 +33,6 @@
 pub mod rate;
 pub mod record;
 pub mod relay;
+pub mod shared;
 pub mod store;
 pub mod upstream;
--- a/src/serve/node.rs
+++ b/src/serve/node.rs
@@ -14,10 +14,12 @@
 use super::dialect::Dialect;
 use super::fleet::Fleet;
 use super::follow::Follower;
-use super::front::{self, Front};
+use super::front::Front;
+use super::inner::Inner;
 use super::jobs::Jobs;
 use super::member::Member;
 use super::peers::Peers;
+use super::shared::Shared;
 use super::store::Store;
 use crate::clock::{Boot, Clock, Time};
 use crate::emit;
@@ -94,7 +96,8 @@
     let fleet = Fleet::new(member, settings, clock, log, adapter.store, adapter.dialect);
     let peers = Peers::new(fleet.clone(), datagrams, relays);
     let jobs = Jobs::new(fleet.clone());
-    let follower = Follower::new(fleet.clone(), peers.clone(), jobs.clone());
+    let shared = Shared::new(fleet.clone());
+    let follower = Follower::new(fleet.clone(), peers.clone(), jobs.clone(), shared.clone());
     let front = Front {
         fleet: fleet.clone(),
         peers: peers.clone(),
@@ -105,7 +108,8 @@
     front.serve_callers(callers.socket)?;
     front.serve_checks(readiness.socket)?;
     front.serve_checks(addresses.socket)?;
-    front::serve_relay(channel, relay.socket)?;
+    let inner = Inner { channel, shared, fleet: fleet.clone(), jobs: jobs.clone() };
+    inner.serve(relay.socket)?;
     actix_rt::spawn(peers.clone().listen(jobs.clone()));
     actix_rt::spawn(peers.clone().announce());
     actix_rt::spawn(follower.clone().run());
--- a/src/serve/peers.rs
+++ b/src/serve/peers.rs
@@ -27,9 +27,11 @@
 const MAX_DATAGRAM_BYTES: usize = 16 << 10;
 /// Pause between two messages of load that changes.
 const LOAD_PAUSE: Duration = Duration::from_millis(8);
-/// Longest time between two messages of load at `FEW` members.
+/// Longest time between two messages of load, in a small fleet.
 const HEARTBEAT: Duration = Duration::from_millis(250);
-/// Members up to which all of them say their load every `HEARTBEAT`.
+/// The same in a fleet of more than `FEW` members; well within `SILENT`.
+const LARGE_HEARTBEAT: Duration = Duration::from_millis(500);
+/// Members of a small fleet.
 const FEW: usize = 12;
 /// Silence after which a peer's load isn't counted and callers aren't sent to it.
 const SILENT: Duration = Duration::from_millis(1_200);
@@ -104,7 +106,7 @@
     pub async fn announce(self: Rc<Self>) {
         loop {
             let members = self.fleet.view.borrow().members.len();
-            let heartbeat = HEARTBEAT.saturating_mul(members.div_ceil(FEW).max(1) as u32);
+            let heartbeat = if members > FEW { LARGE_HEARTBEAT } else { HEARTBEAT };
             let _ = tokio::time::timeout(heartbeat, self.fleet.load_changed.notified()).await;
             self.say_load();
             tokio::time::sleep(LOAD_PAUSE).await;
--- /dev/null
+++ b/src/serve/shared.rs
@@ -0,0 +1,231 @@
+//! Reads of the store that VMs share, and reads of jobs at their owners.
+//!
+//! In a large fleet two VMs of each data centre read the store; the others ask
+//! one of these for its last answer. Such an answer carries its age, measured
+//! by the VM that read it; the asking VM counts it from when it asked, so the
+//! age is never understated, also when either VM was suspended in between.
+//! Without a fresh answer a VM reads the store itself.
+//!
+//! Results of a job are asked of its owner. The owner answers only while its
+//! own view is fresh, so a job that changed hands is read from the store.
+
+use std::cell::{Cell, RefCell};
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::{Request, StatusCode};
+use http_body_util::Full;
+use prost::Message;
+
+use super::fleet::Fleet;
+use super::jobs::{Jobs, Listed};
+use super::member::{self, Member};
+use super::store::Snapshot;
+use crate::clock::Time;
+use crate::error::{Error, Kind, Result};
+
+/// Members up to which every VM reads the store itself.
+const ALL_READ: usize = 14;
+/// VMs of a data centre that read the store in a larger fleet.
+const READERS: usize = 2;
+/// Pause between two reads of the store where others use them.
+const READER_POLL: Duration = Duration::from_millis(500);
+/// Age up to which another VM's answer is used.
+const MAX_AGE: Duration = Duration::from_millis(900);
+/// Age of the view up to which an owner answers for its jobs.
+const OWNER_AGE: Duration = Duration::from_millis(1_500);
+/// Bound on a call to another VM.
+const CALL_TIMEOUT: Duration = Duration::from_millis(300);
+/// Largest answer of another VM, in bytes.
+const MAX_ANSWER_BYTES: usize = 8 << 20;
+/// Path of the last answer of the store.
+pub const SNAPSHOT_PATH: &str = "/peer/snapshot";
+/// Path of the results of a job; the job and the first position follow.
+pub const RESULTS_PATH: &str = "/peer/results/";
+
+/// A store's answer with its age.
+#[derive(Clone, PartialEq, Message)]
+pub struct Aged {
+    /// Time since the call was sent, in milliseconds.
+    #[prost(uint64, tag = "1")]
+    pub age_ms: u64,
+    /// Entries as the store gave them.
+    #[prost(message, repeated, tag = "2")]
+    pub entries: Vec<Entry>,
+}
+
+/// One entry of the store.
+#[derive(Clone, PartialEq, Message)]
+pub struct Entry {
+    /// Its key.
+    #[prost(string, tag = "1")]
+    pub key: String,
+    /// Its value.
+    #[prost(bytes = "vec", tag = "2")]
+    pub value: Vec<u8>,
+    /// Its version.
+    #[prost(uint64, tag = "3")]
+    pub version: u64,
+}
+
+/// Results of a job from a position on.
+#[derive(Clone, PartialEq, Message)]
+pub struct Results {
+    /// Number of the job's items.
+    #[prost(uint64, tag = "1")]
+    pub total: u64,
+    /// The results.
+    #[prost(message, repeated, tag = "2")]
+    pub results: Vec<Listed>,
+}
+
+/// Reads that VMs share.
+pub struct Shared {
+    fleet: Rc<Fleet>,
+    /// When the last direct read was sent, and what it brought.
+    last: RefCell<Option<(Time, Vec<Entry>)>>,
+    turn: Cell<usize>,
+}
+
+impl Shared {
+    /// Nothing was read yet.
+    pub fn new(fleet: Rc<Fleet>) -> Rc<Self> {
+        Rc::new(Self { fleet, last: RefCell::default(), turn: Cell::new(0) })
+    }
+
+    /// Reads everything the fleet shares. The time is that from which the
+    /// answer confirms what it says.
+    pub async fn read(&self) -> Result<(Snapshot, Time)> {
+        let asked = self.fleet.now();
+        if let Some(reader) = self.reader()
+            && let Some((entries, age)) = self.ask(&reader).await
+        {
+            let confirms = Time(asked.0.saturating_sub(age.as_micros() as u64));
+            if confirms > self.fleet.view.borrow().confirmed {
+                let entries = entries.into_iter().map(Entry::into).collect();
+                return Ok((self.fleet.store.decode(entries), confirms));
+            }
+        }
+        let asked = self.fleet.now();
+        let entries = self.fleet.store.entries().await?;
+        if self.is_reader() {
+            let kept = entries.iter().cloned().map(Entry::from).collect();
+            *self.last.borrow_mut() = Some((asked, kept));
+        }
+        Ok((self.fleet.store.decode(entries), asked))
+    }
+
+    /// Pause between two reads, where `poll` is that of a VM that reads for itself.
+    pub fn pause(&self, poll: Duration) -> Duration {
+        if self.is_reader() { poll.min(READER_POLL) } else { poll }
+    }
+
+    /// The last direct read, for other VMs.
+    pub fn last(&self) -> Option<Vec<u8>> {
+        let last = self.last.borrow();
+        let (asked, entries) = last.as_ref()?;
+        let age = asked.until(self.fleet.now());
+        if age > MAX_AGE {
+            return None;
+        }
+        let aged = Aged { age_ms: age.as_millis() as u64 + 1, entries: entries.clone() };
+        Some(aged.encode_to_vec())
+    }
+
+    /// The VM whose answer this one uses; none if it reads itself.
+    fn reader(&self) -> Option<Member> {
+        let readers = self.readers();
+        if readers.is_empty() || readers.iter().any(|member| &member.vm == self.fleet.vm()) {
+            return None;
+        }
+        let turn = self.turn.get();
+        Some(readers[turn % readers.len()].clone())
+    }
+
+    fn is_reader(&self) -> bool {
+        self.readers().iter().any(|member| &member.vm == self.fleet.vm())
+    }
+
+    /// VMs of this data centre that read the store; none if all do.
+    fn readers(&self) -> Vec<Member> {
+        let view = self.fleet.view.borrow();
+        if view.members.len() <= ALL_READ {
+            return Vec::new();
+        }
+        let here = &self.fleet.member.data_centre;
+        let mut local: Vec<&Member> = view
+            .members
+            .iter()
+            .map(|listed| &listed.member)
+            .filter(|member| &member.data_centre == here && !member.leaving)
+            .collect();
+        local.sort_by_key(|member| member::rank(&member.vm, "reader"));
+        local.into_iter().take(READERS).cloned().collect()
+    }
+
+    async fn ask(&self, reader: &Member) -> Option<(Vec<Entry>, Duration)> {
+        let aged = match get(&self.fleet, reader, SNAPSHOT_PATH).await {
+            Some(body) => Aged::decode(body).ok(),
+            None => None,
+        };
+        if aged.is_none() {
+            self.turn.set(self.turn.get().wrapping_add(1));
+        }
+        let aged = aged?;
+        Some((aged.entries, Duration::from_millis(aged.age_ms)))
+    }
+}
+
+impl From<crate::kv::Entry> for Entry {
+    fn from(entry: crate::kv::Entry) -> Self {
+        Self { key: entry.key, value: entry.value, version: entry.version }
+    }
+}
+
+impl From<Entry> for crate::kv::Entry {
+    fn from(entry: Entry) -> Self {
+        Self { key: entry.key, value: entry.value, version: entry.version }
+    }
+}
+
+/// Results of a job that this VM owns, for other VMs; an error if it can't be
+/// sure that it still owns it.
+pub fn owned_results(fleet: &Fleet, jobs: &Jobs, job: &str, after: usize) -> Result<Vec<u8>> {
+    let unsure = || Error::new(Kind::NotFound, format!("job {job} isn't owned here"));
+    if fleet.view.borrow().confirmed.after(OWNER_AGE).passed(fleet.now()) {
+        return Err(unsure());
+    }
+    let (total, results, _) = jobs.owned_results(job).ok_or_else(unsure)?;
+    let results = results.get(after..).unwrap_or_default().to_vec();
+    Ok(Results { total: total as u64, results }.encode_to_vec())
+}
+
+/// Asks the owner of a job for results; none if it can't be sure.
+pub async fn ask_owner(fleet: &Fleet, job: &str, after: usize) -> Option<Results> {
+    let owner = {
+        let view = fleet.view.borrow();
+        let (pending, _) = view.pending.get(job)?;
+        let listed = view.members.iter().find(|listed| {
+            listed.member.vm.as_str() == pending.owner
+                && listed.member.incarnation == pending.incarnation
+        });
+        listed?.member.clone()
+    };
+    let body = get(fleet, &owner, &format!("{RESULTS_PATH}{job}/{after}")).await?;
+    Results::decode(body).ok()
+}
+
+/// Reads from another VM; none if it doesn't answer well and soon.
+async fn get(fleet: &Fleet, member: &Member, path: &str) -> Option<Bytes> {
+    let request = Request::get(path)
+        .header("host", member.relay.to_string())
+        .body(Full::new(Bytes::new()))
+        .ok()?;
+    let calling = async {
+        let mut answer = fleet.pool.send(member.relay, request, CALL_TIMEOUT).await.ok()?;
+        let body = answer.body.collect(MAX_ANSWER_BYTES).await.ok()?;
+        (answer.status == StatusCode::OK).then_some(body)
+    };
+    tokio::time::timeout(CALL_TIMEOUT, calling).await.ok().flatten()
+}
--- a/src/serve/store.rs
+++ b/src/serve/store.rs
@@ -47,7 +47,7 @@
     pub upstreams: Vec<Registration>,
     /// Storage VMs that are to be emptied.
     pub retirements: Vec<Retirement>,
-    /// The product's own small entries under `SHARED_PREFIXES`.
+    /// The product's own small entries: members and open jobs.
     pub shared: Vec<Entry>,
     /// Entries that could not be read, with the reason.
     pub unreadable: Vec<String>,
@@ -95,8 +95,11 @@
 /// means that nothing was done, `WriteUnknown` that a write may have been or
 /// may still be done.
 pub trait Store {
-    /// Reads all that the fleet shares.
-    fn snapshot(&self) -> LocalBoxFuture<'_, Result<Snapshot>>;
+    /// Reads all entries that the fleet shares.
+    fn entries(&self) -> LocalBoxFuture<'_, Result<Vec<Entry>>>;
+
+    /// Sorts entries that `entries` gave, here or on another VM.
+    fn decode(&self, entries: Vec<Entry>) -> Snapshot;
 
     /// Reads one key.
     fn get(&self, key: &str) -> LocalBoxFuture<'_, Result<Option<Entry>>>;
