Let one VM at a time take room for batch items

What was changed: VMs say whether items wait there, and take turns of 25 ms at each upstream; an interrupted item waits 60 ms. The log tells the load that interrupted an item. Ruled out: one dispatcher for each upstream (items would cross VMs).

--- a/src/event/catalogue.rs
+++ b/src/event/catalogue.rs
@@ -81,6 +81,7 @@
     710 JobGivenUp Warning "the items left of a job are given up";
     711 ItemEnded Info "an attempt to run an item ended";
     712 RetirementReported Info "a storage VM is reported empty";
+    713 ItemInterrupted Info "an item makes room for online requests";
 
     801 OrderSent Info "order sent to an upstream";
     802 OrderRefused Warning "an upstream refused an order";
--- a/src/serve/fleet.rs
+++ b/src/serve/fleet.rs
@@ -62,6 +62,10 @@
     pub ledger: RefCell<Ledger>,
     /// Whether a planned stop has begun.
     pub stopping: Cell<bool>,
+    /// Whether items of jobs wait here for a slot.
+    pub items_wait: Cell<bool>,
+    /// Other VMs at which items wait.
+    pub contenders: RefCell<Vec<Vm>>,
     /// Told when this VM's load has changed.
     pub load_changed: Notify,
     /// Told when any load has changed, or an item may run.
@@ -98,6 +102,8 @@
             view: RefCell::default(),
             ledger: RefCell::new(ledger),
             stopping: Cell::new(false),
+            items_wait: Cell::new(false),
+            contenders: RefCell::default(),
             load_changed: Notify::new(),
             work_changed: Notify::new(),
         })
--- a/src/serve/jobs/dispatch.rs
+++ b/src/serve/jobs/dispatch.rs
@@ -7,7 +7,7 @@
 //! interrupted item goes on elsewhere after the last event that it has.
 //!
 //! Answers steps of online load within seconds, with batch load that leaves
-//! few slots free on average.
+//! few slots free on average, and items that wait at many VMs at once.
 
 use std::rc::Rc;
 use std::time::Duration;
@@ -17,13 +17,13 @@
 use super::owner::Next;
 use super::record::{Head, Item};
 use super::run::{self, Ended};
-use super::shell::Jobs;
+use super::shell::{Jobs, unix_ms};
 use crate::clock::Time;
 use crate::emit;
 use crate::event::Event;
 use crate::id::Service;
 use crate::serve::fleet::{Slot, Use};
-use crate::serve::place::{self, Wish};
+use crate::serve::place::{self, BatchPlace, Wish};
 use crate::serve::upstream::Key;
 
 /// Slots at each upstream that items leave free.
@@ -35,6 +35,22 @@
 /// Longest time between two looks at what may run.
 const LOOK: Duration = Duration::from_millis(200);
 
+/// Time for which one VM alone may take room at an upstream.
+const TURN: Duration = Duration::from_millis(25);
+
+/// What came of a look for an item to start.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Choice {
+    /// An item was started.
+    Started,
+    /// There is room that other VMs may take now.
+    NotYet,
+    /// Items wait and there is no room.
+    NoRoom,
+    /// No item waits.
+    Nothing,
+}
+
 /// An item that runs.
 pub struct Running {
     pub(super) job: String,
@@ -65,23 +81,39 @@
         loop {
             self.interrupt_excess();
             self.expire();
-            let mut started = 0;
-            while started < MAX_STARTS && self.start_one() {
-                started += 1;
+            let mut choice = Choice::Nothing;
+            for _ in 0..MAX_STARTS {
+                choice = self.start_one();
+                if choice != Choice::Started {
+                    break;
+                }
             }
-            if started > 0 {
-                tokio::time::sleep(START_PAUSE).await;
-                continue;
+            self.say_waiting(choice != Choice::Nothing);
+            match choice {
+                Choice::Started => tokio::time::sleep(START_PAUSE).await,
+                Choice::NotYet => tokio::time::sleep(TURN).await,
+                Choice::NoRoom | Choice::Nothing => {
+                    let _ = tokio::time::timeout(LOOK, self.fleet.work_changed.notified()).await;
+                }
             }
-            let _ = tokio::time::timeout(LOOK, self.fleet.work_changed.notified()).await;
         }
     }
 
-    fn start_one(self: &Rc<Self>) -> bool {
+    /// Tells the other VMs whether items wait here.
+    fn say_waiting(&self, waiting: bool) {
+        if self.fleet.items_wait.replace(waiting) != waiting {
+            self.fleet.load_changed.notify_one();
+        }
+    }
+
+    fn start_one(self: &Rc<Self>) -> Choice {
         if self.fleet.stopping.get() {
-            return false;
+            return Choice::Nothing;
         }
-        let Some(start) = self.choose() else { return false };
+        let start = match self.choose() {
+            Ok(start) => start,
+            Err(choice) => return choice,
+        };
         let interrupt = Rc::new(Notify::new());
         self.running.borrow_mut().push(Running {
             job: start.job.clone(),
@@ -91,32 +123,40 @@
         });
         let jobs = self.clone();
         actix_rt::spawn(async move { jobs.run_item(start, interrupt).await });
-        true
+        Choice::Started
     }
 
     /// The first item, by the time its job is due, that finds a slot.
-    fn choose(&self) -> Option<Start> {
+    fn choose(&self) -> std::result::Result<Start, Choice> {
         let now = self.fleet.now();
-        let configuration = self.fleet.configuration()?;
+        let configuration = self.fleet.configuration().ok_or(Choice::Nothing)?;
         let mut owned = self.owned.borrow_mut();
         let mut order: Vec<(Time, String)> =
             owned.values().map(|owned| (owned.job.due, owned.job.id.clone())).collect();
         order.sort();
+        let mut choice = Choice::Nothing;
         for (_, id) in order {
-            let job = &mut owned.get_mut(&id)?.job;
+            let Some(owned) = owned.get_mut(&id) else { continue };
+            let job = &mut owned.job;
             let Some(route) = configuration.route(&job.head.host, &job.head.path) else {
                 continue;
             };
             if !job.has_ready(now) {
                 continue;
             }
-            let Some(slot) = self.find_slot(route.target(self.fleet.draw()), now) else { continue };
-            let next = job.start(now)?;
+            let slot = match self.find_slot(route.target(self.fleet.draw()), now) {
+                Ok(slot) => slot,
+                Err(reason) => {
+                    choice = reason;
+                    continue;
+                }
+            };
+            let Some(next) = job.start(now) else { continue };
             let item = job.spec.items[next.index].clone();
             let (head, max_attempts) = (job.head.clone(), route.max_attempts);
-            return Some(Start { job: id, head, item, next, max_attempts, slot });
+            return Ok(Start { job: id, head, item, next, max_attempts, slot });
         }
-        None
+        Err(choice)
     }
 
     /// Gives up jobs that are past their time or whose route is gone.
@@ -137,15 +177,22 @@
         }
     }
 
-    fn find_slot(&self, service: Option<&Service>, now: Time) -> Option<Slot> {
+    fn find_slot(&self, service: Option<&Service>, now: Time) -> std::result::Result<Slot, Choice> {
         let wish = Wish {
-            service: service?,
+            service: service.ok_or(Choice::NoRoom)?,
             data_centre: &self.fleet.member.data_centre,
             tried: &[],
             draw: self.fleet.draw(),
         };
-        let key = place::batch(&self.fleet.table.borrow(), wish, RESERVE_SLOTS, now)?;
-        self.fleet.occupy(key, Use::Batch)
+        let contenders = self.fleet.contenders.borrow();
+        let slice = unix_ms() / TURN.as_millis() as u64;
+        let turn = |upstream| place::is_turn(self.fleet.vm(), &contenders, upstream, slice);
+        let place = place::batch(&self.fleet.table.borrow(), wish, RESERVE_SLOTS, turn, now);
+        match place {
+            BatchPlace::Here(key) => self.fleet.occupy(key, Use::Batch).ok_or(Choice::NoRoom),
+            BatchPlace::NotYet => Err(Choice::NotYet),
+            BatchPlace::Nowhere => Err(Choice::NoRoom),
+        }
     }
 
     async fn run_item(self: Rc<Self>, start: Start, interrupt: Rc<Notify>) {
@@ -179,6 +226,11 @@
             let mut here: Vec<&Running> = running.iter().filter(|item| item.key == key).collect();
             here.sort_by_key(|item| std::cmp::Reverse(item.started));
             for item in here.into_iter().take(count as usize) {
+                emit!(self.fleet.log, Event::ItemInterrupted, "job" => item.job.as_str(),
+                    "upstream" => entry.registration.upstream.as_str(), "slots" => slots,
+                    "own_online" => entry.own.online, "own_batch" => entry.own.batch,
+                    "peers_online" => entry.peers.online, "peers_batch" => entry.peers.batch,
+                    "before" => before);
                 item.interrupt.notify_one();
             }
         }
--- a/src/serve/jobs/owner.rs
+++ b/src/serve/jobs/owner.rs
@@ -14,6 +14,8 @@
 const RETRY_AFTER_FAILURE: Duration = Duration::from_millis(200);
 /// Wait before an item whose upstream broke off is tried again.
 const RETRY_AFTER_BREAK: Duration = Duration::from_millis(100);
+/// Wait before an item that made room looks for a slot again.
+const RETRY_AFTER_INTERRUPTION: Duration = Duration::from_millis(60);
 /// Longest wait between attempts.
 const MAX_RETRY: Duration = Duration::from_secs(3);
 /// Wait for further results before a write, since each write has its price.
@@ -177,7 +179,9 @@
             Ended::Failed(progress) => {
                 State::Waiting { not_before: now.after(RETRY_AFTER_FAILURE), progress }
             }
-            Ended::Interrupted(progress) => State::Waiting { not_before: now, progress },
+            Ended::Interrupted(progress) => {
+                State::Waiting { not_before: now.after(RETRY_AFTER_INTERRUPTION), progress }
+            }
             Ended::Broken(progress) => {
                 self.breaks[index] += 1;
                 let wait = RETRY_AFTER_BREAK.saturating_mul(1 << self.breaks[index].min(5));
--- a/src/serve/peer.rs
+++ b/src/serve/peer.rs
@@ -51,6 +51,9 @@
     /// Whether the store answered the sender lately.
     #[prost(bool, tag = "4")]
     pub in_touch: bool,
+    /// Whether items of jobs wait at the sender for a slot.
+    #[prost(bool, tag = "5")]
+    pub items_wait: bool,
 }
 
 /// Requests at one upstream.
--- a/src/serve/peers.rs
+++ b/src/serve/peers.rs
@@ -54,6 +54,7 @@
     sequence: u64,
     rows: Vec<Row>,
     serving: bool,
+    items_wait: bool,
     /// Since when it has said without a break that it is out of touch.
     untouched_since: Option<Time>,
     at: Time,
@@ -120,7 +121,8 @@
         let serving = self.serving();
         let confirmed = self.fleet.view.borrow().confirmed;
         let in_touch = !confirmed.after(OUT_OF_TOUCH).passed(self.fleet.now());
-        let load = Load { sequence: self.sequence.get(), rows, serving, in_touch };
+        let items_wait = self.fleet.items_wait.get();
+        let load = Load { sequence: self.sequence.get(), rows, serving, in_touch, items_wait };
         let bytes = self.datagram(Content::Load(load));
         for address in self.others() {
             self.send(&bytes, address);
@@ -195,7 +197,10 @@
         let (sequence, rows, serving) = (load.sequence, load.rows, load.serving);
         let before = heard.get(&vm).and_then(|last| last.untouched_since);
         let untouched_since = if load.in_touch { None } else { Some(before.unwrap_or(now)) };
-        heard.insert(vm, Heard { incarnation, sequence, rows, serving, untouched_since, at: now });
+        let items_wait = load.items_wait;
+        let said =
+            Heard { incarnation, sequence, rows, serving, items_wait, untouched_since, at: now };
+        heard.insert(vm, said);
         drop(heard);
         self.recount();
     }
@@ -214,6 +219,11 @@
             })
         });
         self.fleet.table.borrow_mut().set_peers(loads);
+        let waiting = heard
+            .iter()
+            .filter(|(_, heard)| heard.items_wait && !heard.at.after(SILENT).passed(now))
+            .map(|(vm, _)| vm.clone());
+        *self.fleet.contenders.borrow_mut() = waiting.collect();
         self.fleet.work_changed.notify_one();
         drop(heard);
         self.choose_relays();
--- a/src/serve/place.rs
+++ b/src/serve/place.rs
@@ -6,9 +6,13 @@
 //! requests. Batch items make room for online requests, so they cost an online
 //! request only the time of the interruption.
 
+use std::hash::Hasher;
+
+use siphasher::sip::SipHasher13;
+
 use super::upstream::{Entry, Key, Table};
 use crate::clock::Time;
-use crate::id::{DataCentre, Service, Upstream};
+use crate::id::{DataCentre, Service, Upstream, Vm};
 
 /// Time in which one slot of a full upstream becomes free, in milliseconds.
 const SLOT_TURN_MS: f64 = 90.0;
@@ -79,19 +83,60 @@
     sharing + SLOT_TURN_MS * f64::from(load.online + 1 - slots)
 }
 
-/// Chooses an upstream for a batch item: one that keeps `reserve` slots free.
-pub fn batch(table: &Table, wish: Wish<'_>, reserve: u32, now: Time) -> Option<Key> {
-    table
+/// Where a batch item may go.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum BatchPlace {
+    /// To this upstream.
+    Here(Key),
+    /// There is room, but it is other VMs' turn to take it.
+    NotYet,
+    /// All upstreams are taken.
+    Nowhere,
+}
+
+/// Chooses an upstream for a batch item: one that keeps `reserve` slots free
+/// and at which it is this VM's turn.
+pub fn batch<T>(table: &Table, wish: Wish<'_>, reserve: u32, turn: T, now: Time) -> BatchPlace
+where
+    T: Fn(u32) -> bool,
+{
+    let mut others_turn = false;
+    let chosen = table
         .of_service(wish.service)
         .filter(|(_, entry)| {
             entry.usable(now) && entry.load().total() + reserve < entry.registration.slots
         })
+        .filter(|(_, entry)| {
+            let ours = turn(entry.number);
+            others_turn |= !ours;
+            ours
+        })
         .map(|(key, entry)| {
             let tried = wish.tried.contains(&entry.registration.upstream);
             let elsewhere = &entry.registration.data_centre != wish.data_centre;
             let rank = (tried, entry.load().total(), elsewhere, wish.draw as u32 ^ entry.number);
             (rank, key)
         })
-        .min_by_key(|(rank, _)| *rank)
-        .map(|(_, key)| key)
+        .min_by_key(|(rank, _)| *rank);
+    match chosen {
+        Some((_, key)) => BatchPlace::Here(key),
+        None if others_turn => BatchPlace::NotYet,
+        None => BatchPlace::Nowhere,
+    }
+}
+
+/// Whether it is `vm`'s turn to take room at an upstream. Turns change with
+/// each `slice` of time and go round all VMs at which items wait, so that one
+/// free slot isn't taken by all of them at once. Clocks that differ only make
+/// two VMs take a turn together, and the excess is interrupted.
+pub fn is_turn(vm: &Vm, contenders: &[Vm], upstream: u32, slice: u64) -> bool {
+    let rank = |vm: &Vm| {
+        let mut hasher = SipHasher13::new();
+        hasher.write(vm.as_str().as_bytes());
+        hasher.write_u32(upstream);
+        hasher.write_u64(slice);
+        hasher.finish()
+    };
+    let own = rank(vm);
+    contenders.iter().all(|other| other == vm || rank(other) < own)
 }
