Let items' progress outlive a planned stop; explain, metrics, fast refusal

What was changed: a leaving VM stores what its items have and gives its jobs up at once; the VM that takes one over goes on after the last event.

--- a/programs/src/command/check.rs
+++ b/programs/src/command/check.rs
@@ -3,7 +3,7 @@
 use std::path::PathBuf;
 
 use gumdrop::Options;
-use parsleybeam::settings::{self, Entry, Store};
+use parsleybeam::settings::{self, Entry, Serve, Standby, Store};
 
 use super::Failure;
 
@@ -14,7 +14,10 @@
     help: bool,
     #[options(free, required, help = "the settings file")]
     file: PathBuf,
-    #[options(help = "whose settings: entry or store (default entry)", meta = "ROLE")]
+    #[options(
+        help = "whose settings: entry, store, serve or standby (default entry)",
+        meta = "ROLE"
+    )]
     role: Option<String>,
 }
 
@@ -23,7 +26,13 @@
     match arguments.role.as_deref().unwrap_or("entry") {
         "entry" => settings::load::<Entry>(&arguments.file).map(drop)?,
         "store" => settings::load::<Store>(&arguments.file).map(drop)?,
-        other => return Err(Failure::Input(format!("--role: {other:?} is not entry or store"))),
+        "serve" => settings::load::<Serve>(&arguments.file).map(drop)?,
+        "standby" => settings::load::<Standby>(&arguments.file).map(drop)?,
+        other => {
+            return Err(Failure::Input(format!(
+                "--role: {other:?} is not entry, store, serve or standby"
+            )));
+        }
     }
     println!("{}: good", arguments.file.display());
     Ok(())
--- a/programs/src/command/mod.rs
+++ b/programs/src/command/mod.rs
@@ -6,6 +6,7 @@
 mod demo;
 mod describe;
 mod entries;
+mod explain;
 mod failure;
 mod get;
 mod jobs;
@@ -60,6 +61,9 @@
     /// `check`
     #[options(help = "check a settings file")]
     Check(check::Arguments),
+    /// `explain`
+    #[options(help = "print what saved logs say about a request or job")]
+    Explain(explain::Arguments),
     /// `demo`
     #[options(help = "start a whole fleet in this process, on loopback")]
     Demo(demo::Arguments),
@@ -83,6 +87,7 @@
         Some(Command::Status(arguments)) => status::run(&arguments).await,
         Some(Command::Entries(arguments)) => entries::run(&arguments).await,
         Some(Command::Check(arguments)) => check::run(&arguments),
+        Some(Command::Explain(arguments)) => explain::run(&arguments),
         Some(Command::Demo(arguments)) => demo::run(&arguments).await,
         Some(Command::Jobs(arguments)) => jobs::run(arguments).await,
         None => Err(Failure::Input("name a command; see parsleybeam --help".into())),
--- a/src/log/mod.rs
+++ b/src/log/mod.rs
@@ -1,5 +1,7 @@
 //! Structured logs: terminal lines or JSON objects on standard error.
 
+pub mod story;
+
 use slog::{Drain, Level, Logger, o};
 
 use crate::settings;
--- a/src/node/pages.rs
+++ b/src/node/pages.rs
@@ -5,7 +5,7 @@
 
 use actix_web::dev::ServerHandle;
 use actix_web::{App, HttpResponse, HttpServer, web};
-use metrics_exporter_prometheus::{PrometheusBuilder, PrometheusHandle};
+use metrics_exporter_prometheus::{Matcher, PrometheusBuilder, PrometheusHandle};
 
 use crate::context::Context;
 use crate::error::{Error, Kind, Result};
@@ -34,11 +34,16 @@
     }
 }
 
+/// Upper bounds of the buckets of times, in seconds.
+const TIME_BUCKETS_S: [f64; 11] = [0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.3, 0.5, 1.0, 2.5, 5.0];
+
 /// Installs the process's metrics recorder; later calls return the same one.
 pub fn install_metrics() -> PrometheusHandle {
     static HANDLE: OnceLock<PrometheusHandle> = OnceLock::new();
     let install = || {
-        let recorder = PrometheusBuilder::new().build_recorder();
+        let times = Matcher::Suffix("_seconds".to_owned());
+        let builder = PrometheusBuilder::new().set_buckets_for_metric(times, &TIME_BUCKETS_S);
+        let recorder = builder.expect("there are buckets").build_recorder();
         let handle = recorder.handle();
         let _ = metrics::set_global_recorder(recorder);
         handle
--- a/src/serve/channel.rs
+++ b/src/serve/channel.rs
@@ -129,7 +129,10 @@
         address: SocketAddr,
         request: &Request<Bytes>,
     ) -> std::result::Result<Reply, Lost> {
-        let timeout = if address == self.address { CALL_TIMEOUT } else { RELAY_TIMEOUT };
+        let direct = address == self.address;
+        let timeout = if direct { CALL_TIMEOUT } else { RELAY_TIMEOUT };
+        let way = if direct { "direct" } else { "peer" };
+        metrics::counter!("serve_store_calls_total", "way" => way).increment(1);
         let sent = request.clone().map(Full::new);
         let calling = async {
             let mut answer = self.pool.send(address, sent, CONNECT_TIMEOUT).await?;
--- a/src/serve/follow.rs
+++ b/src/serve/follow.rs
@@ -27,7 +27,7 @@
 /// Time without an answer after which the store counts as having been away.
 const OUTAGE: Duration = Duration::from_millis(2_000);
 
-/// Incarnation in the entry of a VM whose process has ended as planned.
+/// Incarnation in the entry of a VM that leaves as planned.
 const NO_INCARNATION: u64 = 0;
 
 /// Follows the store.
@@ -287,12 +287,12 @@
         owner(&heard, gone.vm.as_str()).is_some_and(|member| &member.vm == self.fleet.vm())
     }
 
-    /// Says in the store that this VM is leaving. With `ended` it also gives
-    /// up its incarnation, so that its jobs are taken over. The entry stays for
-    /// its next run; peers remove it if none comes.
-    pub async fn leave(&self, ended: bool) -> Result<()> {
-        let incarnation = if ended { NO_INCARNATION } else { self.fleet.member.incarnation };
-        let member = Member { leaving: true, incarnation, ..self.fleet.member.clone() };
+    /// Says in the store that this VM is leaving. It gives up its incarnation, so
+    /// that its jobs are taken over. The entry stays for its next run; peers
+    /// remove it if none comes.
+    pub async fn leave(&self) -> Result<()> {
+        let left = self.fleet.member.clone();
+        let member = Member { leaving: true, incarnation: NO_INCARNATION, ..left };
         let put = (Member::key_of(self.fleet.vm()), member.encode());
         let transaction = Transaction { puts: vec![put], ..Transaction::default() };
         self.fleet.store.commit(transaction).await.map(|_| ())
--- a/src/serve/inner.rs
+++ b/src/serve/inner.rs
@@ -1,4 +1,4 @@
-//! The HTTP server for other VMs of the fleet.
+//! The HTTP server for other VMs of the fleet, and for metrics.
 //!
 //! It gives them the last read of the store and results of jobs owned here,
 //! and passes on calls that the store turns away from them.
@@ -14,6 +14,10 @@
 use super::jobs::Jobs;
 use super::shared::{self, RESULTS_PATH, SNAPSHOT_PATH, Shared};
 use crate::error::Result;
+use crate::node::install_metrics;
+
+/// Path of the metrics page.
+const METRICS_PATH: &str = "/metrics";
 
 /// What the server needs.
 #[derive(Clone)]
@@ -31,6 +35,7 @@
 impl Inner {
     /// Serves other VMs until the process ends.
     pub fn serve(self, socket: std::net::TcpListener) -> Result<()> {
+        install_metrics();
         listen(socket, move |config| {
             let inner = self.clone();
             config.default_service(web::to(move |request: HttpRequest, payload: web::Payload| {
@@ -42,6 +47,9 @@
 
     async fn answer(&self, request: HttpRequest, payload: web::Payload) -> HttpResponse {
         let path = request.path();
+        if path == METRICS_PATH {
+            return HttpResponse::Ok().content_type("text/plain").body(install_metrics().render());
+        }
         if path == SNAPSHOT_PATH {
             return found(self.shared.last());
         }
--- a/src/serve/jobs/archive.rs
+++ b/src/serve/jobs/archive.rs
@@ -11,7 +11,10 @@
 use prost::Message;
 
 use super::owner::Stored;
-use super::record::{self, Head, Listed, Spec, head_key, result_key, results_prefix, spec_prefix};
+use super::record::{
+    self, Head, Listed, Partial, Spec, head_key, partials_prefix, result_key, results_prefix,
+    spec_prefix,
+};
 use crate::clock::Time;
 use crate::error::{Error, Kind, Result};
 use crate::serve::fleet::Fleet;
@@ -147,7 +150,23 @@
         let spec = self.spec(job).await?;
         let results = self.read_results(job, 0).await?;
         let results = results.into_iter().map(|(_, listed)| listed).collect();
-        Ok(Some(Stored { head, spec: (*spec).clone(), results }))
+        let partials = self.read_partials(job).await?;
+        Ok(Some(Stored { head, spec: (*spec).clone(), results, partials }))
+    }
+
+    async fn read_partials(&self, job: &str) -> Result<Vec<Partial>> {
+        let mut partials = Vec::new();
+        let mut after = String::new();
+        loop {
+            let page = self.fleet.store.list(&partials_prefix(job), &after).await?;
+            for entry in &page.entries {
+                partials.push(record::decode(entry)?);
+                after = entry.key.clone();
+            }
+            if !page.more || page.entries.is_empty() {
+                return Ok(partials);
+            }
+        }
     }
 
     /// Keeps a job that this VM has stored itself.
--- a/src/serve/jobs/calls.rs
+++ b/src/serve/jobs/calls.rs
@@ -24,6 +24,10 @@
 const MAX_WAIT: Duration = Duration::from_millis(1_000);
 /// Time after which a reader's VM asks the store once more for results.
 const REREAD: Duration = Duration::from_millis(900);
+/// Age of the store's last answer from which no job is accepted.
+const STORE_AWAY: Duration = Duration::from_millis(1_900);
+/// Wait named to callers whose job was refused for that.
+const STORE_AWAY_RETRY: Duration = Duration::from_millis(1_200);
 /// Wait named to callers while the store can't be reached.
 const STORE_RETRY: Duration = Duration::from_millis(500);
 
@@ -50,6 +54,7 @@
             let detail = "this VM is leaving; use another one";
             return Err(Error::new(Kind::Leaving, detail).retry_after(STORE_RETRY));
         }
+        self.check_store()?;
         let stored = Head {
             organisation: organisation.unwrap_or_default(),
             host: head.host.clone(),
@@ -67,6 +72,17 @@
         Ok(self.reply(StatusCode::ACCEPTED, head, Bytes::new()))
     }
 
+    /// Refuses jobs at once while the store doesn't answer: a write that was
+    /// sent could not be said to have had no effect.
+    fn check_store(&self) -> Result<()> {
+        let confirmed = self.fleet.view.borrow().confirmed;
+        if !confirmed.after(STORE_AWAY).passed(self.fleet.now()) {
+            return Ok(());
+        }
+        let detail = "the store that keeps jobs doesn't answer";
+        Err(Error::new(Kind::StoreUnavailable, detail).retry_after(STORE_AWAY_RETRY))
+    }
+
     /// Answers a call about a job.
     pub async fn called(
         self: &Rc<Self>,
--- a/src/serve/jobs/dispatch.rs
+++ b/src/serve/jobs/dispatch.rs
@@ -202,6 +202,7 @@
         self.running.borrow_mut().retain(|running| !Rc::ptr_eq(&running.interrupt, &interrupt));
         emit!(self.fleet.log, Event::ItemEnded, "job" => job.as_str(), "item" => item.id.as_str(),
             "upstream" => upstream.as_str(), "outcome" => ended.as_str());
+        metrics::counter!("serve_item_attempts_total", "outcome" => ended.as_str()).increment(1);
         let stored = matches!(ended, Ended::Completed(_) | Ended::Impossible | Ended::Failed(_));
         if let Some(owned) = self.owned.borrow_mut().get_mut(&job) {
             owned.job.ended(index, ended, max_attempts, self.fleet.now());
--- a/src/serve/jobs/mod.rs
+++ b/src/serve/jobs/mod.rs
@@ -5,6 +5,7 @@
 //! | `job/ID/head` | organisation, number of items | once, when it is accepted |
 //! | `job/ID/spec/N` | its items, in chunks | with the head |
 //! | `job/ID/result/N` | the result at position N | once, when it is listed |
+//! | `job/ID/partial/N` | what item N has so far | when its owner leaves as planned |
 //! | `job/ID/ended` | empty | once, when its caller ends it |
 //! | `pending/ID` | owner, size | while items are left |
 //!
@@ -16,6 +17,7 @@
 mod archive;
 mod calls;
 mod dispatch;
+mod handover;
 mod owner;
 mod record;
 mod run;
@@ -25,6 +27,6 @@
 pub use archive::Archive;
 pub use dispatch::to_interrupt;
 pub use owner::{Job, Next, Settled, State, Stored, Times};
-pub use record::{Head, Header, Item, Listed, Outcome, PENDING_PREFIX, Pending, Spec};
+pub use record::{Head, Header, Item, Listed, Outcome, PENDING_PREFIX, Partial, Pending, Spec};
 pub use run::{Ended, Progress};
 pub use shell::Jobs;
--- a/src/serve/jobs/owner.rs
+++ b/src/serve/jobs/owner.rs
@@ -6,7 +6,7 @@
 
 use std::time::Duration;
 
-use super::record::{Head, Listed, Outcome, Spec};
+use super::record::{Head, Listed, Outcome, Partial, Spec};
 use super::run::{Ended, Progress};
 use crate::clock::Time;
 
@@ -72,6 +72,8 @@
     pub spec: Spec,
     /// Its results, by position.
     pub results: Vec<Listed>,
+    /// What its items have of earlier attempts.
+    pub partials: Vec<Partial>,
 }
 
 /// Times of a job on this VM's clock.
@@ -111,10 +113,17 @@
 impl Job {
     /// A job with the results that are already stored.
     pub fn new(id: String, stored: Stored, fence: u64, times: Times) -> Self {
-        let Stored { head, spec, results } = stored;
+        let Stored { head, spec, results, partials } = stored;
         let Times { held_since, due, give_up } = times;
         let waiting = State::Waiting { not_before: Time(0), progress: Progress::default() };
         let mut states = vec![waiting; spec.items.len()];
+        for partial in partials {
+            if let Some(index) = spec.items.iter().position(|item| item.id == partial.item) {
+                let Partial { events, last, failures, .. } = partial;
+                let progress = Progress { events, last, failures };
+                states[index] = State::Waiting { not_before: Time(0), progress };
+            }
+        }
         for result in &results {
             if let Some(index) = spec.items.iter().position(|item| item.id == result.item) {
                 states[index] = State::Listed;
@@ -190,6 +199,19 @@
         };
     }
 
+    /// What items that wait have of earlier attempts, with their indices.
+    pub fn partials(&self) -> Vec<(usize, Partial)> {
+        let items = self.spec.items.iter().zip(&self.states).enumerate();
+        let partial = |(index, (item, state)): (usize, (&super::Item, &State))| match state {
+            State::Waiting { progress, .. } if progress.last.is_some() => {
+                let Progress { events, last, failures } = progress.clone();
+                Some((index, Partial { item: item.id.clone(), events, last, failures }))
+            }
+            _ => None,
+        };
+        items.filter_map(partial).collect()
+    }
+
     /// Gives up all items that wait; false if none did.
     pub fn give_up_waiting(&mut self) -> bool {
         let mut any = false;
--- a/src/serve/jobs/record.rs
+++ b/src/serve/jobs/record.rs
@@ -105,6 +105,23 @@
     pub output: String,
 }
 
+/// What an item has of attempts at a VM that left.
+#[derive(Clone, PartialEq, Message)]
+pub struct Partial {
+    /// The item's identifier.
+    #[prost(string, tag = "1")]
+    pub item: String,
+    /// Data of its events so far.
+    #[prost(string, repeated, tag = "2")]
+    pub events: Vec<String>,
+    /// Identifier of the last of them.
+    #[prost(uint64, optional, tag = "3")]
+    pub last: Option<u64>,
+    /// Times that an upstream failed it.
+    #[prost(uint32, tag = "4")]
+    pub failures: u32,
+}
+
 /// What all VMs know of a job that has items left.
 #[derive(Clone, PartialEq, Message)]
 pub struct Pending {
@@ -150,6 +167,16 @@
     format!("{JOB_PREFIX}{job}/result/")
 }
 
+/// Key of what an item has of earlier attempts.
+pub fn partial_key(job: &str, index: usize) -> String {
+    format!("{}{index:0POSITION_DIGITS$}", partials_prefix(job))
+}
+
+/// Prefix of what a job's items have of earlier attempts.
+pub fn partials_prefix(job: &str) -> String {
+    format!("{JOB_PREFIX}{job}/partial/")
+}
+
 /// Key that says that a job's caller ended it.
 pub fn ended_key(job: &str) -> String {
     format!("{JOB_PREFIX}{job}/ended")
--- a/src/serve/jobs/shell.rs
+++ b/src/serve/jobs/shell.rs
@@ -43,6 +43,8 @@
     /// Jobs read from the store.
     pub archive: Archive,
     pub(super) taking_over: Cell<bool>,
+    /// Told when this VM leaves.
+    pub(super) leaving: Notify,
     /// Jobs whose acceptance is under way.
     pub(super) accepting: RefCell<HashSet<String>>,
 }
@@ -63,6 +65,7 @@
             owned: RefCell::default(),
             running: RefCell::default(),
             taking_over: Cell::new(false),
+            leaving: Notify::new(),
             accepting: RefCell::default(),
         })
     }
@@ -100,7 +103,7 @@
         let accepted = self.commit_acceptance(transaction, &pending, job).await;
         self.accepting.borrow_mut().remove(job);
         match accepted? {
-            Some(version) => self.adopt(job, Stored { head, spec, results: Vec::new() }, version),
+            Some(version) => self.adopt(job, Stored { head, spec, ..Stored::default() }, version),
             None => emit!(self.fleet.log, Event::JobRepeated, "job" => job),
         }
         Ok(())
@@ -218,7 +221,8 @@
         let (jobs, id) = (self.clone(), id.to_owned());
         let pause = entry.job.write_pause(self.fleet.now());
         actix_rt::spawn(async move {
-            tokio::time::sleep(pause).await;
+            // A stop doesn't wait for further results.
+            let _ = tokio::time::timeout(pause, jobs.leaving.notified()).await;
             while jobs.store_results(&id).await {}
             if let Some(entry) = jobs.owned.borrow_mut().get_mut(&id) {
                 entry.flushing = false;
@@ -301,14 +305,6 @@
             "items_left" => owned.job.left());
     }
 
-    /// Interrupts all items: this VM is leaving, and its jobs go to others once
-    /// its entry is gone.
-    pub fn release(&self) {
-        for running in self.running.borrow().iter() {
-            running.interrupt.notify_one();
-        }
-    }
-
     /// Ends a job; false if no such job was ever accepted.
     pub async fn end(&self, id: &str) -> Result<bool> {
         loop {
--- a/src/serve/node.rs
+++ b/src/serve/node.rs
@@ -150,20 +150,19 @@
         self.fleet.stopping.set(true);
         self.fleet.ledger.borrow_mut().resign();
         self.peers.say_load();
-        self.tell_store(false).await;
+        self.jobs.hand_over().await;
+        self.tell_store().await;
         let refuse = begun.after(ACCEPT_AFTER_STOP.min(stop / 2));
         self.front.refuse_from.set(refuse);
-        self.jobs.release();
         tokio::time::sleep(self.fleet.now().until(refuse)).await;
-        self.tell_store(true).await;
         while self.front.active.get() > 0 && !end.passed(self.fleet.now()) {
             tokio::time::sleep(DRAIN_LOOK).await;
         }
         emit!(self.fleet.log, Event::Stopped, "active" => self.front.active.get());
     }
 
-    async fn tell_store(&self, remove: bool) {
-        let told = tokio::time::timeout(LEAVE_TIMEOUT, self.follower.leave(remove)).await;
+    async fn tell_store(&self) {
+        let told = tokio::time::timeout(LEAVE_TIMEOUT, self.follower.leave()).await;
         let reason = match told {
             Ok(Ok(())) => return,
             Ok(Err(error)) => error.detail,
--- a/src/serve/record.rs
+++ b/src/serve/record.rs
@@ -78,7 +78,15 @@
             _ => Event::RequestFailed,
         };
         let contact_age = self.fleet.view.borrow().confirmed.until(now);
-        metrics::counter!("requests_total", "outcome" => outcome).increment(1);
+        metrics::counter!("serve_requests_total", "outcome" => outcome,
+            "status" => self.status.to_string())
+        .increment(1);
+        metrics::histogram!("serve_request_seconds", "outcome" => outcome)
+            .record(self.begun.until(now).as_secs_f64());
+        metrics::counter!("serve_attempts_total").increment(self.attempts.len() as u64);
+        if !self.token.is_empty() {
+            metrics::counter!("serve_tokens_total", "source" => self.token).increment(1);
+        }
         emit!(self.fleet.log, event,
             "request" => self.request.as_str(), "outcome" => outcome, "status" => self.status,
             "reason" => self.reason.as_str(), "route" => self.route.as_str(),
--- a/src/serve/relay.rs
+++ b/src/serve/relay.rs
@@ -123,7 +123,7 @@
             self.first_event = Some(now);
             self.record.first_event_ms = Some(first_ms as u64);
             self.slot.answered(first_ms);
-            metrics::histogram!("first_event_seconds").record(first_ms / 1e3);
+            metrics::histogram!("serve_first_event_seconds").record(first_ms / 1e3);
         }
         Ok(Some(events.freeze()))
     }
--- a/src/settings/serve.rs
+++ b/src/settings/serve.rs
@@ -24,11 +24,8 @@
     pub addresses: SocketAddr,
     /// Address for datagrams of other VMs.
     pub peer: SocketAddr,
-    /// Address for calls to the key-value service that other VMs can't make.
+    /// Address for calls of other VMs, and of the metrics page.
     pub relay: SocketAddr,
-    /// Address of the metrics page; none: no metrics are served.
-    #[serde(default)]
-    pub metrics: Option<SocketAddr>,
     /// Address of the platform's key-value service.
     pub key_value: SocketAddr,
     /// What this VM can carry, relative to others.
--- a/tests/serve_jobs.rs
+++ b/tests/serve_jobs.rs
@@ -14,7 +14,7 @@
 fn stored(items: usize) -> Stored {
     let item = |index| Item { id: format!("item-{index}"), tokens: 10, ..Item::default() };
     let spec = Spec { items: (0..items).map(item).collect() };
-    Stored { head: Head::default(), spec, results: Vec::new() }
+    Stored { head: Head::default(), spec, ..Stored::default() }
 }
 
 fn job(stored: Stored) -> Job {
@@ -84,6 +84,18 @@
     assert_eq!(job.start(NOW), None);
 }
 
+#[test]
+fn new_with_partials() {
+    let mut first = job(stored(2));
+    let next = first.start(NOW).expect("an item waits");
+    let progress = Progress { events: vec!["a".into(), "b".into()], last: Some(2), failures: 1 };
+    first.ended(next.index, Ended::Interrupted(progress.clone()), 3, NOW);
+    let partials: Vec<_> = first.partials().into_iter().map(|(_, partial)| partial).collect();
+    assert_eq!(partials.len(), 1);
+    let mut second = job(Stored { partials, ..stored(2) });
+    assert_eq!(second.start(NOW).expect("an item waits").progress, progress);
+}
+
 #[test]
 fn give_up_waiting_only() {
     let mut job = job(stored(3));
