--- a/src/serve/node.rs
+++ b/src/serve/node.rs
@@ -51,6 +51,8 @@
     pub caller: SocketAddr,
     /// Where callers ask for addresses.
     pub addresses: SocketAddr,
+    /// Where other VMs call.
+    pub relay: SocketAddr,
     fleet: Rc<Fleet>,
     peers: Rc<Peers>,
     jobs: Rc<Jobs>,
@@ -109,6 +111,7 @@
     front.serve_checks(readiness.socket)?;
     front.serve_checks(addresses.socket)?;
     let inner = Inner { channel, shared, fleet: fleet.clone(), jobs: jobs.clone() };
+    let relay_address = relay.address;
     inner.serve(relay.socket)?;
     actix_rt::spawn(peers.clone().listen(jobs.clone()));
     actix_rt::spawn(peers.clone().announce());
@@ -117,6 +120,7 @@
     Ok(Node {
         caller: callers.address,
         addresses: addresses.address,
+        relay: relay_address,
         fleet,
         peers,
         jobs,
--- a/src/serve/peer.rs
+++ b/src/serve/peer.rs
@@ -54,6 +54,9 @@
     /// Whether items of jobs wait at the sender for a slot.
     #[prost(bool, tag = "5")]
     pub items_wait: bool,
+    /// Numbers of upstreams that failed at the sender and get no requests.
+    #[prost(fixed32, repeated, tag = "6")]
+    pub ejected: Vec<u32>,
 }
 
 /// Requests at one upstream.
--- a/src/serve/peers.rs
+++ b/src/serve/peers.rs
@@ -55,6 +55,7 @@
     rows: Vec<Row>,
     serving: bool,
     items_wait: bool,
+    ejected: Vec<u32>,
     /// Since when it has said without a break that it is out of touch.
     untouched_since: Option<Time>,
     at: Time,
@@ -122,7 +123,9 @@
         let confirmed = self.fleet.view.borrow().confirmed;
         let in_touch = !confirmed.after(OUT_OF_TOUCH).passed(self.fleet.now());
         let items_wait = self.fleet.items_wait.get();
-        let load = Load { sequence: self.sequence.get(), rows, serving, in_touch, items_wait };
+        let ejected = self.fleet.table.borrow().ejected(self.fleet.now());
+        let sequence = self.sequence.get();
+        let load = Load { sequence, rows, serving, in_touch, items_wait, ejected };
         let bytes = self.datagram(Content::Load(load));
         for address in self.others() {
             self.send(&bytes, address);
@@ -198,8 +201,16 @@
         let before = heard.get(&vm).and_then(|last| last.untouched_since);
         let untouched_since = if load.in_touch { None } else { Some(before.unwrap_or(now)) };
         let items_wait = load.items_wait;
-        let said =
-            Heard { incarnation, sequence, rows, serving, items_wait, untouched_since, at: now };
+        let said = Heard {
+            incarnation,
+            sequence,
+            rows,
+            serving,
+            items_wait,
+            ejected: load.ejected,
+            untouched_since,
+            at: now,
+        };
         heard.insert(vm, said);
         drop(heard);
         self.recount();
@@ -218,7 +229,14 @@
                 first,
             })
         });
-        self.fleet.table.borrow_mut().set_peers(loads);
+        let failed = heard
+            .values()
+            .filter(|heard| !heard.at.after(SILENT).passed(now))
+            .flat_map(|heard| heard.ejected.iter().copied());
+        let mut table = self.fleet.table.borrow_mut();
+        table.set_peers(loads);
+        table.set_suspects(failed);
+        drop(table);
         let waiting = heard
             .iter()
             .filter(|(_, heard)| heard.items_wait && !heard.at.after(SILENT).passed(now))
--- a/src/serve/place.rs
+++ b/src/serve/place.rs
@@ -24,6 +24,10 @@
 const DISTANCE_MS: f64 = 3.0;
 /// Share of an upstream's average first-event time that counts against it.
 const HISTORY_WEIGHT: f64 = 0.25;
+/// Other VMs at which an upstream must have failed to be passed over.
+const SUSPECTS: u32 = 2;
+/// What such an upstream costs: it is used only when the others are full.
+const SUSPICION_MS: f64 = 250.0;
 /// Time to the first event at an upstream with a free slot, in milliseconds.
 const PREFILL_MS: f64 = 50.0;
 
@@ -63,7 +67,9 @@
             let distance =
                 if &entry.registration.data_centre == wish.data_centre { 0.0 } else { DISTANCE_MS };
             let history = entry.first_event_ms * HISTORY_WEIGHT;
-            (Choice { key, expected_ms }, expected_ms + jitter + distance + history)
+            let suspicion = if entry.suspects >= SUSPECTS { SUSPICION_MS } else { 0.0 };
+            let cost = expected_ms + jitter + distance + history + suspicion;
+            (Choice { key, expected_ms }, cost)
         })
         .min_by(|(_, one), (_, other)| one.total_cmp(other))
         .map(|(choice, _)| choice)
@@ -104,7 +110,9 @@
     let chosen = table
         .of_service(wish.service)
         .filter(|(_, entry)| {
-            entry.usable(now) && entry.load().total() + reserve < entry.registration.slots
+            entry.usable(now)
+                && entry.suspects < SUSPECTS
+                && entry.load().total() + reserve < entry.registration.slots
         })
         .filter(|(_, entry)| {
             let ours = turn(entry.number);
--- a/src/serve/upstream.rs
+++ b/src/serve/upstream.rs
@@ -66,6 +66,8 @@
     pub peers: Load,
     /// Items of VMs that make room before this one does.
     pub batch_before: u32,
+    /// Other VMs at which it failed and that send it no requests now.
+    pub suspects: u32,
     /// No requests go there before this time.
     pub ejected_until: Time,
     /// Average time to the first event, in milliseconds.
@@ -83,6 +85,7 @@
             own: Load::default(),
             peers: Load::default(),
             batch_before: 0,
+            suspects: 0,
             ejected_until: Time(0),
             first_event_ms: 0.0,
             failures: 0,
@@ -225,6 +228,27 @@
         }
     }
 
+    /// Takes anew at how many other VMs each upstream failed.
+    pub fn set_suspects<I>(&mut self, failed: I)
+    where
+        I: IntoIterator<Item = u32>,
+    {
+        for entry in self.entries.values_mut() {
+            entry.suspects = 0;
+        }
+        for number in failed {
+            if let Some(key) = self.by_number.get(&number) {
+                self.entries[*key].suspects += 1;
+            }
+        }
+    }
+
+    /// Numbers of upstreams that failed here and get no requests at `now`.
+    pub fn ejected(&self, now: Time) -> Vec<u32> {
+        let ejected = self.entries.values().filter(|entry| !entry.ejected_until.passed(now));
+        ejected.map(|entry| entry.number).collect()
+    }
+
     /// Notes that an upstream failed; returns until when it gets no requests.
     pub fn failed(&mut self, key: Key, now: Time) -> Option<Time> {
         let entry = self.entries.get_mut(key)?;
--- a/tests/serve_place.rs
+++ b/tests/serve_place.rs
@@ -95,6 +95,19 @@
     assert!(place::online(&table, Place::new().wish(&[]), later).is_some());
 }
 
+#[test]
+fn online_passes_over_what_failed_elsewhere() {
+    let mut table = table(&["a", "b"]);
+    table.set_peers([peer("b", 6, 0)]);
+    let a = number(&Upstream::from("a"));
+    table.set_suspects([a]);
+    assert_eq!(Place::new().online(&table).expect("usable").0, "a", "one VM may be cut off");
+    table.set_suspects([a, a]);
+    assert_eq!(Place::new().online(&table).expect("usable").0, "b");
+    table.set_peers([peer("b", 14, 0)]);
+    assert_eq!(Place::new().online(&table).expect("usable").0, "a", "the rest is full");
+}
+
 #[test]
 fn online_restarted_upstream_is_new() {
     let mut table = table(&["a"]);
