--- a/src/api/caller.rs
+++ b/src/api/caller.rs
@@ -89,7 +89,8 @@
     response.body(answer.body)
 }
 
-async fn read(mut payload: web::Payload, limit: usize) -> Result<Bytes> {
+/// Reads a request's body of at most `limit` bytes.
+pub(crate) async fn read(mut payload: web::Payload, limit: usize) -> Result<Bytes> {
     let mut body = BytesMut::new();
     while let Some(chunk) = payload.next().await {
         let chunk = chunk
--- a/src/serve/front.rs
+++ b/src/serve/front.rs
@@ -12,7 +12,6 @@
 use actix_web::dev::AppConfig;
 use actix_web::http::{ConnectionType, header};
 use actix_web::{App, HttpRequest, HttpResponse, web};
-use bytes::{Bytes, BytesMut};
 use futures_util::StreamExt;
 use http::{HeaderMap, HeaderName, HeaderValue, Method};
 use tokio::net::TcpListener;
@@ -24,6 +23,7 @@
 use super::jobs::Jobs;
 use super::peers::Peers;
 use super::record::Record;
+use crate::api::caller::read;
 use crate::clock::Time;
 use crate::error::{Error, Kind, Result, Run};
 
@@ -301,16 +301,3 @@
         }
     }
 }
-
-pub(super) async fn read(mut payload: web::Payload, limit: usize) -> Result<Bytes> {
-    let mut body = BytesMut::new();
-    while let Some(chunk) = payload.next().await {
-        let chunk = chunk
-            .map_err(|error| Error::new(Kind::Malformed, format!("the body broke off: {error}")))?;
-        if body.len() + chunk.len() > limit {
-            return Err(Error::new(Kind::TooLarge, format!("the body is over {limit} bytes")));
-        }
-        body.extend_from_slice(&chunk);
-    }
-    Ok(body.freeze())
-}
--- a/src/serve/inner.rs
+++ b/src/serve/inner.rs
@@ -10,9 +10,10 @@
 
 use super::channel::Channel;
 use super::fleet::Fleet;
-use super::front::{MAX_BODY_BYTES, copy_headers, listen, read};
+use super::front::{MAX_BODY_BYTES, copy_headers, listen};
 use super::jobs::Jobs;
 use super::shared::{self, RESULTS_PATH, SNAPSHOT_PATH, Shared};
+use crate::api::caller::read;
 use crate::error::Result;
 use crate::node::install_metrics;
 
