--- a/src/serve/dialect.rs
+++ b/src/serve/dialect.rs
@@ -10,7 +10,7 @@
 
 use super::jobs::{Item, Listed};
 use crate::error::Result;
-use crate::id::{DataCentre, Organisation, Upstream};
+use crate::id::{Organisation, Upstream};
 
 /// A caller's request as it arrived.
 #[derive(Clone, Debug)]
@@ -132,9 +132,6 @@
     /// Headers of an answer of our own.
     fn own_headers(&self, request: Option<&str>) -> HeaderMap;
 
-    /// The caller's data centre in a query for addresses.
-    fn caller_data_centre(&self, query: &str) -> Option<DataCentre>;
-
     /// Writes the answer to a query for addresses.
     fn addresses(&self, addresses: &[SocketAddr], lifetime_ms: u64) -> Bytes;
 
--- a/src/serve/front.rs
+++ b/src/serve/front.rs
@@ -157,14 +157,13 @@
     }
 
     /// Answers a call for addresses.
-    pub async fn addresses(&self, request: HttpRequest) -> HttpResponse {
+    pub async fn addresses(&self) -> HttpResponse {
         let addresses = self.choose_addresses();
         if addresses.is_empty() {
             return HttpResponse::ServiceUnavailable().finish();
         }
         let longest = self.fleet.settings().bounds.addresses_lifetime_s * 1e3;
         let lifetime_ms = ADDRESSES_LIFETIME_MS.min(longest as u64);
-        let _ = self.fleet.dialect.caller_data_centre(request.query_string());
         let body = self.fleet.dialect.addresses(&addresses, lifetime_ms);
         HttpResponse::Ok().content_type("application/json").body(body)
     }
@@ -205,9 +204,9 @@
             );
             config.route(
                 dialect.addresses_path(),
-                web::get().to(move |request: HttpRequest| {
+                web::get().to(move || {
                     let addresses = addresses.clone();
-                    async move { addresses.addresses(request).await }
+                    async move { addresses.addresses().await }
                 }),
             );
         })
