Ask the VM that runs a job for results and bodies, and announce accepted jobs

Cause: each VM read the head of every job that a caller asked it about from the store, and the results once more while the last read of the store didn't show the job yet. With 59 VMs and some ten reads a job this grew with VMs. The size of a job and its organisation now come with the owner's answer, the last owner keeps answering for whole jobs, and a VM that accepts a job tells the others, which also count its tokens at once. A repeat of a job that a VM knows makes no write, and isn't refused for the cap any more.

--- a/src/serve/follow.rs
+++ b/src/serve/follow.rs
@@ -178,6 +178,7 @@
         }
         self.note_members(&members);
         let mut view = self.fleet.view.borrow_mut();
+        self.jobs.directory.borrow_mut().update(&pending, asked);
         view.members = members;
         view.pending = pending;
         view.confirmed = view.confirmed.max(asked);
--- a/src/serve/front.rs
+++ b/src/serve/front.rs
@@ -118,7 +118,7 @@
         {
             record.route = route.name.clone();
             record.version = configuration.version;
-            let reply = self.jobs.submitted(&arrival, &head, route).await;
+            let reply = self.jobs.submitted(&arrival, &head, route, &self.peers).await;
             conclude(record, &reply);
             return reply;
         }
--- a/src/serve/inner.rs
+++ b/src/serve/inner.rs
@@ -5,14 +5,16 @@
 
 use std::rc::Rc;
 
+use actix_web::body::MessageBody;
 use actix_web::{HttpRequest, HttpResponse, web};
+use bytes::Bytes;
 use http::Method;
 
 use super::channel::Channel;
 use super::fleet::Fleet;
 use super::front::{MAX_BODY_BYTES, copy_headers, listen};
 use super::jobs::Jobs;
-use super::shared::{self, RESULTS_PATH, SNAPSHOT_PATH, Shared};
+use super::shared::{self, BODY_PATH, RESULTS_PATH, SNAPSHOT_PATH, Shared};
 use crate::api::caller::read;
 use crate::error::Result;
 use crate::node::install_metrics;
@@ -57,12 +59,20 @@
         if let Some(rest) = path.strip_prefix(RESULTS_PATH) {
             return found(self.results(rest));
         }
+        if let Some(rest) = path.strip_prefix(BODY_PATH) {
+            return found(self.body(rest));
+        }
         self.pass_on(request, payload).await
     }
 
     fn results(&self, rest: &str) -> Option<Vec<u8>> {
         let (job, after) = rest.rsplit_once('/')?;
-        shared::owned_results(&self.fleet, &self.jobs, job, after.parse().ok()?).ok()
+        shared::results(&self.fleet, &self.jobs, job, after.parse().ok()?)
+    }
+
+    fn body(&self, rest: &str) -> Option<Bytes> {
+        let (job, item) = rest.split_once('/')?;
+        self.jobs.owned_body(job, item)
     }
 
     async fn pass_on(&self, request: HttpRequest, payload: web::Payload) -> HttpResponse {
@@ -87,6 +97,9 @@
     }
 }
 
-fn found(body: Option<Vec<u8>>) -> HttpResponse {
+fn found<B>(body: Option<B>) -> HttpResponse
+where
+    B: MessageBody + 'static,
+{
     body.map_or_else(|| HttpResponse::NotFound().finish(), |body| HttpResponse::Ok().body(body))
 }
--- a/src/serve/jobs/archive.rs
+++ b/src/serve/jobs/archive.rs
@@ -8,11 +8,13 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use bytes::Bytes;
 use prost::Message;
 
+use super::directory::Directory;
 use super::owner::Stored;
 use super::record::{
-    self, Head, Listed, Partial, Spec, head_key, partials_prefix, result_key, results_prefix,
+    self, Head, Listed, Partial, Spec, head_key, listing_prefix, partials_prefix, result_key,
     spec_prefix,
 };
 use crate::clock::Time;
@@ -25,10 +27,27 @@
 /// Most bytes of results and items that are kept.
 const MAX_BYTES: usize = 16 << 20;
 
+/// A job as its readers see it.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Listing {
+    /// Organisation that submitted it.
+    pub organisation: String,
+    /// Number of its items.
+    pub total: usize,
+    /// Its results, by position.
+    pub results: Vec<Listed>,
+}
+
+impl Listing {
+    /// Whether all results are there, so that it never changes again.
+    pub fn whole(&self) -> bool {
+        self.total > 0 && self.results.len() == self.total
+    }
+}
+
 #[derive(Clone, Default)]
 struct Kept {
-    head: Head,
-    results: Vec<Listed>,
+    listing: Listing,
     spec: Option<Rc<Spec>>,
     /// When the last read of the results was sent.
     read: Time,
@@ -37,83 +56,139 @@
 
 impl Kept {
     fn bytes(&self) -> usize {
-        let results: usize = self.results.iter().map(|listed| listed.output.len() + 64).sum();
+        let results = self.listing.results.iter();
+        let results: usize = results.map(|listed| listed.output.len() + 64).sum();
         results + self.spec.as_ref().map_or(0, |spec| spec.encoded_len())
     }
 }
 
+/// What one read of a job's head and results brought.
+#[derive(Default)]
+struct Read {
+    head: Option<Head>,
+    results: Vec<Listed>,
+}
+
 /// Jobs that were read, by identifier.
 pub struct Archive {
     fleet: Rc<Fleet>,
+    directory: Rc<RefCell<Directory>>,
     kept: RefCell<HashMap<String, Kept>>,
 }
 
 impl Archive {
     /// An empty archive.
-    pub fn new(fleet: Rc<Fleet>) -> Self {
-        Self { fleet, kept: RefCell::default() }
+    pub fn new(fleet: Rc<Fleet>, directory: Rc<RefCell<Directory>>) -> Self {
+        Self { fleet, directory, kept: RefCell::default() }
     }
 
-    /// A job's head; none if no such job was ever accepted.
-    pub async fn head(&self, job: &str) -> Result<Option<Head>> {
-        if let Some(kept) = self.kept.borrow_mut().get_mut(job) {
-            kept.used = self.fleet.now();
-            return Ok(Some(kept.head.clone()));
+    /// Organisation of a job; none if no such job was ever accepted.
+    pub async fn organisation(&self, job: &str) -> Result<Option<String>> {
+        let known = self.directory.borrow().owner(job).map(|owner| owner.organisation.clone());
+        let known = known
+            .or_else(|| self.kept.borrow().get(job).map(|kept| kept.listing.organisation.clone()));
+        match known {
+            Some(organisation) => Ok(Some(organisation)),
+            None => Ok(self.listing(job).await?.map(|listing| listing.organisation)),
         }
-        let Some(entry) = self.fleet.store.get(&head_key(job)).await? else { return Ok(None) };
-        let head: Head = record::decode(&entry)?;
-        let kept = Kept { head: head.clone(), used: self.fleet.now(), ..Kept::default() };
-        self.kept.borrow_mut().entry(job.to_owned()).or_insert(kept);
-        self.evict();
-        Ok(Some(head))
     }
 
-    /// Results of a job, as far as they are stored; its head must be known.
-    pub async fn results(&self, job: &str) -> Result<Vec<Listed>> {
+    /// A job as far as its results are stored; none if no such job was ever accepted.
+    pub async fn listing(&self, job: &str) -> Result<Option<Listing>> {
         let asked = self.fleet.now();
-        let known = self.kept.borrow().get(job).cloned().unwrap_or_default();
-        let whole = known.head.total > 0 && known.results.len() as u64 == known.head.total;
-        if whole || !known.read.after(READ_STANDS).passed(asked) {
-            return Ok(known.results);
+        let known = self.kept.borrow().get(job).cloned();
+        if let Some(known) = &known
+            && (known.listing.whole() || !known.read.after(READ_STANDS).passed(asked))
+        {
+            return Ok(Some(known.listing.clone()));
         }
-        let fresh = self.fresh_results(job, known.results.len()).await?;
-        let mut kept = self.kept.borrow_mut();
-        let kept = kept.entry(job.to_owned()).or_insert(known);
-        for (position, listed) in fresh {
-            if position == kept.results.len() {
-                kept.results.push(listed);
+        let listing = known.map(|known| known.listing);
+        let from = listing.as_ref().map_or(0, |listing| listing.results.len());
+        let Some(fresh) = self.fresh(job, listing).await? else { return Ok(None) };
+        let mut all = self.kept.borrow_mut();
+        let kept = all.entry(job.to_owned()).or_default();
+        let Listing { organisation, total, results } = fresh;
+        kept.listing.organisation = organisation;
+        kept.listing.total = total;
+        for (position, listed) in (from..).zip(results) {
+            if position == kept.listing.results.len() {
+                kept.listing.results.push(listed);
             }
         }
         kept.read = kept.read.max(asked);
-        Ok(kept.results.clone())
+        kept.used = asked;
+        let listing = kept.listing.clone();
+        drop(all);
+        self.evict();
+        Ok(Some(listing))
+    }
+
+    /// A listing that never changes again, if this VM has it.
+    pub fn whole(&self, job: &str) -> Option<Listing> {
+        let kept = self.kept.borrow();
+        kept.get(job).map(|kept| &kept.listing).filter(|listing| listing.whole()).cloned()
     }
 
-    /// New results, from the job's owner if it can be sure, else from the store.
-    async fn fresh_results(&self, job: &str, from: usize) -> Result<Vec<(usize, Listed)>> {
-        match shared::ask_owner(&self.fleet, job, from).await {
-            Some(answer) => Ok((from..).zip(answer.results).collect()),
-            None => self.read_results(job, from).await,
+    /// Results beyond those known, from the job's owner if it can be sure, else
+    /// from the store.
+    async fn fresh(&self, job: &str, known: Option<Listing>) -> Result<Option<Listing>> {
+        let from = known.as_ref().map_or(0, |known| known.results.len());
+        let owner = self.directory.borrow().owner(job).cloned();
+        if let Some(owner) = owner
+            && let Some(answer) = shared::ask_results(&self.fleet, &owner, job, from).await
+        {
+            let shared::Results { total, results, organisation } = answer;
+            return Ok(Some(Listing { organisation, total: total as usize, results }));
         }
+        let after = match (&known, from) {
+            (None, _) => String::new(),
+            (Some(_), 0) => head_key(job),
+            (Some(_), _) => result_key(job, from - 1),
+        };
+        let Read { head, results } = self.read_listing(job, after).await?;
+        let listing = |head: Head| Listing {
+            organisation: head.organisation,
+            total: head.total as usize,
+            results: Vec::new(),
+        };
+        let listing = known.or_else(|| head.map(listing));
+        Ok(listing.map(|listing| Listing { results, ..listing }))
     }
 
-    async fn read_results(&self, job: &str, from: usize) -> Result<Vec<(usize, Listed)>> {
-        let mut results = Vec::new();
+    /// Reads head and results that come after a key.
+    async fn read_listing(&self, job: &str, mut after: String) -> Result<Read> {
+        let mut read = Read::default();
         loop {
-            let position = from + results.len();
-            let after = position.checked_sub(1).map(|last| result_key(job, last));
-            let page =
-                self.fleet.store.list(&results_prefix(job), &after.unwrap_or_default()).await?;
+            let page = self.fleet.store.list(&listing_prefix(job), &after).await?;
             for entry in &page.entries {
-                results.push((from + results.len(), record::decode(entry)?));
+                if entry.key == head_key(job) {
+                    read.head = Some(record::decode(entry)?);
+                } else {
+                    read.results.push(record::decode(entry)?);
+                }
+                after = entry.key.clone();
             }
             if !page.more || page.entries.is_empty() {
-                return Ok(results);
+                return Ok(read);
             }
         }
     }
 
-    /// Items of a job; its head must be known.
-    pub async fn spec(&self, job: &str) -> Result<Rc<Spec>> {
+    /// Body of an item that isn't listed yet; none if the job has no such item.
+    pub async fn body(&self, job: &str, item: &str) -> Result<Option<Bytes>> {
+        let owner = self.directory.borrow().owner(job).cloned();
+        if let Some(owner) = owner
+            && let Some(body) = shared::ask_body(&self.fleet, &owner, job, item).await
+        {
+            return Ok(Some(body));
+        }
+        let spec = self.spec(job).await?;
+        let found = spec.items.iter().find(|stored| stored.id == item);
+        Ok(found.map(|stored| stored.body.clone()))
+    }
+
+    /// Items of a job.
+    async fn spec(&self, job: &str) -> Result<Rc<Spec>> {
         if let Some(spec) = self.kept.borrow().get(job).and_then(|kept| kept.spec.clone()) {
             return Ok(spec);
         }
@@ -146,10 +221,9 @@
 
     /// All that is stored of a job; none if no such job was ever accepted.
     pub async fn load(&self, job: &str) -> Result<Option<Stored>> {
-        let Some(head) = self.head(job).await? else { return Ok(None) };
+        let Read { head, results } = self.read_listing(job, String::new()).await?;
+        let Some(head) = head else { return Ok(None) };
         let spec = self.spec(job).await?;
-        let results = self.read_results(job, 0).await?;
-        let results = results.into_iter().map(|(_, listed)| listed).collect();
         let partials = self.read_partials(job).await?;
         Ok(Some(Stored { head, spec: (*spec).clone(), results, partials }))
     }
@@ -170,8 +244,8 @@
     }
 
     /// Keeps a job that this VM has stored itself.
-    pub fn keep(&self, job: &str, head: Head, results: Vec<Listed>) {
-        let kept = Kept { head, results, spec: None, read: Time(0), used: self.fleet.now() };
+    pub fn keep(&self, job: &str, listing: Listing) {
+        let kept = Kept { listing, spec: None, read: Time(0), used: self.fleet.now() };
         self.kept.borrow_mut().insert(job.to_owned(), kept);
         self.evict();
     }
--- a/src/serve/jobs/calls.rs
+++ b/src/serve/jobs/calls.rs
@@ -38,6 +38,7 @@
         arrival: &Arrival,
         head: &dialect::Head,
         route: &Route,
+        peers: &Rc<Peers>,
     ) -> Result<Reply> {
         let configuration = configuration(&self.fleet)?;
         let tenant = identify(&self.fleet, &configuration, head, route.anonymous)?;
@@ -64,9 +65,14 @@
             chunks: 0,
         };
         // Goes on when the caller leaves: the job may be accepted already.
-        let (jobs, job, route) = (self.clone(), job.to_owned(), route.clone());
-        let accepting =
-            actix_rt::spawn(async move { jobs.submit(&job, stored, items, &route).await });
+        let (jobs, peers) = (self.clone(), peers.clone());
+        let (job, route) = (job.to_owned(), route.clone());
+        let accepting = actix_rt::spawn(async move {
+            if let Some(pending) = jobs.submit(&job, stored, items, &route).await? {
+                peers.say_opened(&job, pending);
+            }
+            Ok(())
+        });
         let broken = |_| Err(Error::new(Kind::Internal, "the call was dropped"));
         accepting.await.unwrap_or_else(broken)?;
         Ok(self.reply(StatusCode::ACCEPTED, head, Bytes::new()))
@@ -127,7 +133,7 @@
     async fn check_reader(&self, job: &str, organisation: Option<&Organisation>) -> Result<()> {
         let holder = match self.owned_organisation(job) {
             Some(holder) => Some(holder),
-            None => self.archive.head(job).await.map_err(retry)?.map(|head| head.organisation),
+            None => self.archive.organisation(job).await.map_err(retry)?,
         };
         let reader = organisation.map_or("", Organisation::as_str);
         match holder {
@@ -141,21 +147,24 @@
         let until = self.fleet.now().after(wait);
         loop {
             let left = self.fleet.now().until(until);
-            if let Some((total, results, listed)) = self.owned_results(job) {
-                if results.len() > after || results.len() == total || left.is_zero() {
-                    return Ok(self.page(total, after, &results));
+            let owned = self.owned_listing(job);
+            let change = self.owned_change(job);
+            let listing = match owned {
+                Some(owned) => owned,
+                None => {
+                    let listing = self.archive.listing(job).await.map_err(retry)?;
+                    listing.ok_or_else(|| unknown(job))?
                 }
-                let _ = tokio::time::timeout(left, listed.notified()).await;
-                continue;
+            };
+            if listing.results.len() > after || listing.whole() || left.is_zero() {
+                return Ok(self.page(listing.total, after, &listing.results));
             }
-            let head = self.archive.head(job).await.map_err(retry)?.ok_or_else(|| unknown(job))?;
-            let results = self.archive.results(job).await.map_err(retry)?;
-            let total = head.total as usize;
             let left = self.fleet.now().until(until);
-            if results.len() > after || results.len() == total || left.is_zero() {
-                return Ok(self.page(total, after, &results));
+            match change {
+                // No wait may outlast `left`, so a timeout is no failure.
+                Some(change) => drop(tokio::time::timeout(left, change.notified()).await),
+                None => tokio::time::sleep(left.min(REREAD)).await,
             }
-            tokio::time::sleep(left.min(REREAD)).await;
         }
     }
 
@@ -174,10 +183,8 @@
         if let Some(body) = self.owned_body(job, item) {
             return Ok(body);
         }
-        let spec = self.archive.spec(job).await.map_err(retry)?;
-        let found = spec.items.iter().find(|stored| stored.id == item);
-        let missing = || Error::new(Kind::NotFound, format!("job {job} has no item {item}"));
-        found.map(|stored| stored.body.clone()).ok_or_else(missing)
+        let found = self.archive.body(job, item).await.map_err(retry)?;
+        found.ok_or_else(|| Error::new(Kind::NotFound, format!("job {job} has no item {item}")))
     }
 
     fn reply(&self, status: StatusCode, head: &dialect::Head, body: Bytes) -> Reply {
--- a/src/serve/jobs/mod.rs
+++ b/src/serve/jobs/mod.rs
@@ -2,9 +2,9 @@
 //!
 //! | key | value | written |
 //! |---|---|---|
-//! | `job/ID/head` | organisation, number of items | once, when it is accepted |
+//! | `job/ID/listing/head` | organisation, number of items | once, when it is accepted |
 //! | `job/ID/spec/N` | its items, in chunks | with the head |
-//! | `job/ID/result/N` | the result at position N | once, when it is listed |
+//! | `job/ID/listing/result/N` | the result at position N | once, when it is listed |
 //! | `job/ID/partial/N` | what item N has so far | when its owner leaves as planned |
 //! | `job/ID/ended` | empty | once, when its caller ends it |
 //! | `pending/ID` | owner, size | while items are left |
@@ -16,6 +16,7 @@
 
 mod archive;
 mod calls;
+mod directory;
 mod dispatch;
 mod handover;
 mod owner;
@@ -24,7 +25,8 @@
 mod shell;
 mod takeover;
 
-pub use archive::Archive;
+pub use archive::{Archive, Listing};
+pub use directory::Directory;
 pub use dispatch::to_interrupt;
 pub use owner::{Job, Next, Settled, State, Stored, Times};
 pub use record::{Head, Header, Item, Listed, Outcome, PENDING_PREFIX, Partial, Pending, Spec};
--- a/src/serve/jobs/record.rs
+++ b/src/serve/jobs/record.rs
@@ -142,9 +142,14 @@
     pub tokens: u64,
 }
 
-/// Key of a job's head; a job exists once it is written.
+/// Prefix of a job's head and results: one read shows what callers may know.
+pub fn listing_prefix(job: &str) -> String {
+    format!("{JOB_PREFIX}{job}/listing/")
+}
+
+/// Key of a job's head; a job exists once it is written. It sorts before results.
 pub fn head_key(job: &str) -> String {
-    format!("{JOB_PREFIX}{job}/head")
+    format!("{}head", listing_prefix(job))
 }
 
 /// Key of a chunk of a job's spec.
@@ -159,12 +164,7 @@
 
 /// Key of the result at a position.
 pub fn result_key(job: &str, position: usize) -> String {
-    format!("{}{position:0POSITION_DIGITS$}", results_prefix(job))
-}
-
-/// Prefix of a job's results.
-pub fn results_prefix(job: &str) -> String {
-    format!("{JOB_PREFIX}{job}/result/")
+    format!("{}result/{position:0POSITION_DIGITS$}", listing_prefix(job))
 }
 
 /// Key of what an item has of earlier attempts.
--- a/src/serve/jobs/shell.rs
+++ b/src/serve/jobs/shell.rs
@@ -8,11 +8,12 @@
 use prost::Message;
 use tokio::sync::Notify;
 
-use super::archive::Archive;
+use super::archive::{Archive, Listing};
+use super::directory::Directory;
 use super::dispatch::Running;
 use super::owner::{Job, Settled, Stored, Times};
 use super::record::{
-    Head, Item, Listed, Pending, Spec, ended_key, head_key, pending_key, result_key, spec_key,
+    Head, Item, Pending, Spec, ended_key, head_key, pending_key, result_key, spec_key,
 };
 use crate::clock::Time;
 use crate::emit;
@@ -42,6 +43,8 @@
     pub(super) running: RefCell<Vec<Running>>,
     /// Jobs read from the store.
     pub archive: Archive,
+    /// Which VM runs each job.
+    pub directory: Rc<RefCell<Directory>>,
     pub(super) taking_over: Cell<bool>,
     /// Told when this VM leaves.
     pub(super) leaving: Notify,
@@ -59,8 +62,10 @@
 impl Jobs {
     /// No jobs yet.
     pub fn new(fleet: Rc<Fleet>) -> Rc<Self> {
+        let directory = Rc::<RefCell<Directory>>::default();
         Rc::new(Self {
-            archive: Archive::new(fleet.clone()),
+            archive: Archive::new(fleet.clone(), directory.clone()),
+            directory,
             fleet,
             owned: RefCell::default(),
             running: RefCell::default(),
@@ -70,17 +75,18 @@
         })
     }
 
-    /// Accepts a job, or finds that it was accepted before. An error of kind
-    /// `WriteUnknown` leaves open whether it was.
+    /// Accepts a job and gives its shared entry; none if it was accepted before.
+    /// An error of kind `WriteUnknown` leaves open whether it was.
     pub async fn submit(
         self: &Rc<Self>,
         job: &str,
         head: Head,
         items: Vec<Item>,
         route: &Route,
-    ) -> Result<()> {
-        if self.owned.borrow().contains_key(job) {
-            return Ok(());
+    ) -> Result<Option<Pending>> {
+        if self.accepted(job, &head.organisation) {
+            emit!(self.fleet.log, Event::JobRepeated, "job" => job);
+            return Ok(None);
         }
         let spec = Spec { items };
         self.check_cap(&head, &spec, route)?;
@@ -102,11 +108,19 @@
         self.accepting.borrow_mut().insert(job.to_owned());
         let accepted = self.commit_acceptance(transaction, &pending, job).await;
         self.accepting.borrow_mut().remove(job);
-        match accepted? {
-            Some(version) => self.adopt(job, Stored { head, spec, ..Stored::default() }, version),
-            None => emit!(self.fleet.log, Event::JobRepeated, "job" => job),
-        }
-        Ok(())
+        let Some(version) = accepted? else {
+            emit!(self.fleet.log, Event::JobRepeated, "job" => job);
+            return Ok(None);
+        };
+        self.adopt(job, Stored { head, spec, ..Stored::default() }, version);
+        Ok(Some(pending))
+    }
+
+    /// Whether this VM knows that a job of an organisation was accepted.
+    fn accepted(&self, job: &str, organisation: &str) -> bool {
+        let directory = self.directory.borrow();
+        self.owned.borrow().contains_key(job)
+            || directory.owner(job).is_some_and(|owner| owner.organisation == organisation)
     }
 
     /// Writes a new job; the version of its pending entry, or none if the job
@@ -182,6 +196,14 @@
                 && !owned.contains_key(*job)
         });
         let elsewhere: u64 = elsewhere.map(|(_, (pending, _))| pending.tokens).sum();
+        let directory = self.directory.borrow();
+        let announced = directory.announced().filter(|(job, pending)| {
+            pending.organisation == organisation
+                && pending.route == route
+                && !owned.contains_key(*job)
+                && !view.pending.contains_key(*job)
+        });
+        let elsewhere = elsewhere + announced.map(|(_, pending)| pending.tokens).sum::<u64>();
         let here = owned.values().filter(|owned| owned.job.head.organisation == organisation);
         elsewhere + here.map(|owned| owned.job.tokens_left()).sum::<u64>()
     }
@@ -289,7 +311,9 @@
         if let Some(owned) = all.remove(id) {
             emit!(self.fleet.log, Event::JobFinished, "job" => id,
                 "items" => owned.job.results.len());
-            self.archive.keep(id, owned.job.head, owned.job.results);
+            let Job { head, results, .. } = owned.job;
+            let (organisation, total) = (head.organisation, results.len());
+            self.archive.keep(id, Listing { organisation, total, results });
         }
         false
     }
@@ -307,14 +331,24 @@
 
     /// Ends a job; false if no such job was ever accepted.
     pub async fn end(&self, id: &str) -> Result<bool> {
+        if self.archive.whole(id).is_some() {
+            return Ok(true);
+        }
+        let seen = self.fleet.view.borrow().pending.get(id).map(|(_, version)| *version);
+        let mut version = seen;
         loop {
-            let Some(pending) = self.fleet.store.get(&pending_key(id)).await? else {
-                return Ok(self.archive.head(id).await?.is_some());
+            version = match version {
+                Some(version) => Some(version),
+                None => self.fleet.store.get(&pending_key(id)).await?.map(|entry| entry.version),
+            };
+            let Some(expected) = version.take() else {
+                return Ok(self.archive.listing(id).await?.is_some());
+            };
+            let transaction = Transaction {
+                expected: vec![Expectation { key: pending_key(id), version: expected }],
+                puts: vec![(ended_key(id), Vec::new())],
+                deletes: vec![pending_key(id)],
             };
-            let expected = vec![Expectation { key: pending.key.clone(), version: pending.version }];
-            let puts = vec![(ended_key(id), Vec::new())];
-            let deletes = vec![pending.key];
-            let transaction = Transaction { expected, puts, deletes };
             if let Commit::Applied(_) = self.fleet.store.commit(transaction).await? {
                 emit!(self.fleet.log, Event::JobCancelled, "job" => id);
                 self.lose(id, "its caller ended it");
@@ -323,12 +357,17 @@
         }
     }
 
-    /// Results of a job that this VM owns, with its size.
-    pub fn owned_results(&self, id: &str) -> Option<(usize, Vec<Listed>, Rc<Notify>)> {
+    /// A job that this VM owns, as far as its results are stored.
+    pub fn owned_listing(&self, id: &str) -> Option<Listing> {
         let owned = self.owned.borrow();
-        let entry = owned.get(id)?;
-        let listed = entry.listed.clone();
-        Some((entry.job.spec.items.len(), entry.job.results.clone(), listed))
+        let Job { head, spec, results, .. } = &owned.get(id)?.job;
+        let (organisation, total) = (head.organisation.clone(), spec.items.len());
+        Some(Listing { organisation, total, results: results.clone() })
+    }
+
+    /// Told when more results of a job that this VM owns are stored.
+    pub fn owned_change(&self, id: &str) -> Option<Rc<Notify>> {
+        self.owned.borrow().get(id).map(|owned| owned.listed.clone())
     }
 
     /// Organisation of a job that this VM owns.
--- a/src/serve/peer.rs
+++ b/src/serve/peer.rs
@@ -5,6 +5,8 @@
 
 use prost::{Message, Oneof};
 
+use super::jobs::Pending;
+
 /// One datagram.
 #[derive(Clone, PartialEq, Message)]
 pub struct Datagram {
@@ -15,7 +17,7 @@
     #[prost(fixed64, tag = "2")]
     pub incarnation: u64,
     /// What it says.
-    #[prost(oneof = "Content", tags = "3, 4, 5, 6")]
+    #[prost(oneof = "Content", tags = "3, 4, 5, 6, 7")]
     pub content: Option<Content>,
 }
 
@@ -34,6 +36,9 @@
     /// A job has ended or changed hands: its owner should read it again.
     #[prost(message, tag = "6")]
     Changed(Changed),
+    /// The sender has accepted a job.
+    #[prost(message, tag = "7")]
+    Opened(Opened),
 }
 
 /// The sender's requests at all upstreams where it has any.
@@ -108,3 +113,14 @@
     #[prost(string, tag = "1")]
     pub job: String,
 }
+
+/// A job was accepted.
+#[derive(Clone, PartialEq, Message)]
+pub struct Opened {
+    /// Which job.
+    #[prost(string, tag = "1")]
+    pub job: String,
+    /// What its shared entry says.
+    #[prost(message, optional, tag = "2")]
+    pub pending: Option<Pending>,
+}
--- a/src/serve/peers.rs
+++ b/src/serve/peers.rs
@@ -13,9 +13,9 @@
 use super::channel::Relays;
 use super::configuration::Tenant;
 use super::fleet::Fleet;
-use super::jobs::Jobs;
+use super::jobs::{Jobs, Pending};
 use super::member::{Member, owner};
-use super::peer::{Ask, Changed, Content, Datagram, Grant, Load, Row};
+use super::peer::{Ask, Changed, Content, Datagram, Grant, Load, Opened, Row};
 use super::rate;
 use super::upstream::{self, PeerLoad};
 use crate::clock::Time;
@@ -184,6 +184,10 @@
                 }
             }
             Some(Content::Changed(changed)) => jobs.lose(&changed.job, "another VM ended it"),
+            Some(Content::Opened(opened)) => {
+                let Some(pending) = opened.pending else { return };
+                jobs.directory.borrow_mut().announce(&opened.job, pending, self.fleet.now());
+            }
             None => {}
         }
     }
@@ -322,6 +326,15 @@
         rate::Grant::NotHolder
     }
 
+    /// Tells all other VMs that this one has accepted a job.
+    pub fn say_opened(&self, job: &str, pending: Pending) {
+        let opened = Opened { job: job.to_owned(), pending: Some(pending) };
+        let bytes = self.datagram(Content::Opened(opened));
+        for address in self.others() {
+            self.send(&bytes, address);
+        }
+    }
+
     /// Tells the owner of a job that it has ended.
     pub fn say_changed(&self, owner: &str, job: &str) {
         let view = self.fleet.view.borrow();
--- a/src/serve/shared.rs
+++ b/src/serve/shared.rs
@@ -6,8 +6,9 @@
 //! age is never understated, also when either VM was suspended in between.
 //! Without a fresh answer a VM reads the store itself.
 //!
-//! Results of a job are asked of its owner. The owner answers only while its
-//! own view is fresh, so a job that changed hands is read from the store.
+//! Results of a job are asked of its owner. The owner answers for an open job
+//! only while its own view is fresh, so a job that changed hands is read from
+//! the store; a job whose results are all there never changes again.
 
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
@@ -19,11 +20,11 @@
 use prost::Message;
 
 use super::fleet::Fleet;
-use super::jobs::{Jobs, Listed};
+use super::jobs::{Jobs, Listed, Pending};
 use super::member::{self, Member};
 use super::store::Snapshot;
 use crate::clock::Time;
-use crate::error::{Error, Kind, Result};
+use crate::error::Result;
 
 /// Members up to which every VM reads the store itself.
 const ALL_READ: usize = 14;
@@ -43,6 +44,8 @@
 pub const SNAPSHOT_PATH: &str = "/peer/snapshot";
 /// Path of the results of a job; the job and the first position follow.
 pub const RESULTS_PATH: &str = "/peer/results/";
+/// Path of the body of an item; the job and the item follow.
+pub const BODY_PATH: &str = "/peer/body/";
 
 /// A store's answer with its age.
 #[derive(Clone, PartialEq, Message)]
@@ -78,6 +81,9 @@
     /// The results.
     #[prost(message, repeated, tag = "2")]
     pub results: Vec<Listed>,
+    /// Organisation that submitted the job.
+    #[prost(string, tag = "3")]
+    pub organisation: String,
 }
 
 /// Reads that VMs share.
@@ -189,33 +195,44 @@
     }
 }
 
-/// Results of a job that this VM owns, for other VMs; an error if it can't be
-/// sure that it still owns it.
-pub fn owned_results(fleet: &Fleet, jobs: &Jobs, job: &str, after: usize) -> Result<Vec<u8>> {
-    let unsure = || Error::new(Kind::NotFound, format!("job {job} isn't owned here"));
-    if fleet.view.borrow().confirmed.after(OWNER_AGE).passed(fleet.now()) {
-        return Err(unsure());
-    }
-    let (total, results, _) = jobs.owned_results(job).ok_or_else(unsure)?;
-    let results = results.get(after..).unwrap_or_default().to_vec();
-    Ok(Results { total: total as u64, results }.encode_to_vec())
+/// Results of a job, for other VMs: of a job that this VM owns if it can be
+/// sure that it still does, else of one whose results never change again.
+pub fn results(fleet: &Fleet, jobs: &Jobs, job: &str, after: usize) -> Option<Vec<u8>> {
+    let owned = jobs.owned_listing(job);
+    let sure = !fleet.view.borrow().confirmed.after(OWNER_AGE).passed(fleet.now());
+    let listing = owned.filter(|_| sure).or_else(|| jobs.archive.whole(job))?;
+    let results = listing.results.get(after..).unwrap_or_default().to_vec();
+    let (total, organisation) = (listing.total as u64, listing.organisation);
+    Some(Results { total, results, organisation }.encode_to_vec())
 }
 
-/// Asks the owner of a job for results; none if it can't be sure.
-pub async fn ask_owner(fleet: &Fleet, job: &str, after: usize) -> Option<Results> {
-    let owner = {
-        let view = fleet.view.borrow();
-        let (pending, _) = view.pending.get(job)?;
-        let listed = view.members.iter().find(|listed| {
-            listed.member.vm.as_str() == pending.owner
-                && listed.member.incarnation == pending.incarnation
-        });
-        listed?.member.clone()
-    };
+/// Asks the VM that runs or ran a job for results; none if it can't be sure.
+pub async fn ask_results(
+    fleet: &Fleet,
+    owner: &Pending,
+    job: &str,
+    after: usize,
+) -> Option<Results> {
+    let owner = process(fleet, owner)?;
     let body = get(fleet, &owner, &format!("{RESULTS_PATH}{job}/{after}")).await?;
     Results::decode(body).ok()
 }
 
+/// Asks the VM that runs a job for the body of an item; none if it doesn't have it.
+pub async fn ask_body(fleet: &Fleet, owner: &Pending, job: &str, item: &str) -> Option<Bytes> {
+    let owner = process(fleet, owner)?;
+    get(fleet, &owner, &format!("{BODY_PATH}{job}/{item}")).await
+}
+
+/// The member whose present process is named as an owner.
+fn process(fleet: &Fleet, owner: &Pending) -> Option<Member> {
+    let view = fleet.view.borrow();
+    let listed = view.members.iter().find(|listed| {
+        listed.member.vm.as_str() == owner.owner && listed.member.incarnation == owner.incarnation
+    });
+    listed.filter(|listed| &listed.member.vm != fleet.vm()).map(|listed| listed.member.clone())
+}
+
 /// Reads from another VM; none if it doesn't answer well and soon.
 async fn get(fleet: &Fleet, member: &Member, path: &str) -> Option<Bytes> {
     let request = Request::get(path)
--- a/standins/src/machines/store.rs
+++ b/standins/src/machines/store.rs
@@ -36,6 +36,7 @@
 pub struct Keys {
     revision: u64,
     items: BTreeMap<String, Item>,
+    reads: Vec<String>,
 }
 
 /// The state, shared with whoever tests against it.
@@ -62,6 +63,11 @@
         STANDARD.decode(&self.items.get(key)?.value).ok()
     }
 
+    /// Keys and prefixes that were read over the network, in order.
+    pub fn reads(&self) -> &[String] {
+        &self.reads
+    }
+
     /// All keys under a prefix.
     pub fn keys(&self, prefix: &str) -> Vec<String> {
         self.items.keys().filter(|key| key.starts_with(prefix)).cloned().collect()
@@ -124,7 +130,8 @@
 }
 
 async fn key(keys: Data<Mutex<Keys>>, query: Query<KeyQuery>) -> HttpResponse {
-    let keys = keys.lock();
+    let mut keys = keys.lock();
+    keys.reads.push(query.key.clone());
     let Some(item) = keys.items.get(&query.key) else { return HttpResponse::NotFound().finish() };
     let mut value = serde_json::to_value(item).unwrap_or_default();
     value["store_revision"] = json!(keys.revision);
@@ -132,7 +139,9 @@
 }
 
 async fn range(keys: Data<Mutex<Keys>>, query: Query<RangeQuery>) -> HttpResponse {
-    let keys = keys.lock();
+    let mut keys = keys.lock();
+    keys.reads.push(query.path_prefix.clone());
+    let keys = &*keys;
     let matching: Vec<&Item> = keys
         .items
         .values()
