Let one VM of each data centre read the store in large fleets

Cause: two VMs of each data centre read it twice a second, though one answer serves all; the second is needed only when the first is gone. It now asks the first like all others and keeps what it was told.

--- a/src/serve/follow.rs
+++ b/src/serve/follow.rs
@@ -61,8 +61,10 @@
         loop {
             let asked = self.fleet.now();
             match self.shared.read().await {
-                Ok((snapshot, confirms)) => {
-                    self.adopt(snapshot, confirms).await;
+                Ok(read) => {
+                    if let Some((snapshot, confirms)) = read {
+                        self.adopt(snapshot, confirms).await;
+                    }
                     pause = RETRY;
                     let poll = self.shared.pause(self.fleet.settings().bounds.poll());
                     tokio::time::sleep(self.fleet.now().until(asked.after(poll))).await;
--- a/src/serve/shared.rs
+++ b/src/serve/shared.rs
@@ -1,8 +1,9 @@
 //! Reads of the store that VMs share, and reads of jobs at their owners.
 //!
-//! In a large fleet two VMs of each data centre read the store; the others ask
-//! one of these for its last answer. Such an answer carries its age, measured
-//! by the VM that read it; the asking VM counts it from when it asked, so the
+//! In a large fleet one VM of each data centre reads the store; the others ask
+//! it for its last answer. A second one keeps what it was told, and is asked
+//! when the first doesn't answer. Such an answer carries its age, measured by
+//! the VM that gives it; the asking VM counts it from when it asked, so the
 //! age is never understated, also when either VM was suspended in between.
 //! Without a fresh answer a VM reads the store itself.
 //!
@@ -28,10 +29,10 @@
 
 /// Members up to which every VM reads the store itself.
 const ALL_READ: usize = 14;
-/// VMs of a data centre that read the store in a larger fleet.
+/// VMs of a data centre whose last answer others use, in a larger fleet.
 const READERS: usize = 2;
 /// Pause between two reads of the store where others use them.
-const READER_POLL: Duration = Duration::from_millis(500);
+const READER_POLL: Duration = Duration::from_millis(600);
 /// Age up to which another VM's answer is used.
 const MAX_AGE: Duration = Duration::from_millis(900);
 /// Age of the view up to which an owner answers for its jobs.
@@ -89,7 +90,7 @@
 /// Reads that VMs share.
 pub struct Shared {
     fleet: Rc<Fleet>,
-    /// When the last direct read was sent, and what it brought.
+    /// The last answer of the store, and from when it confirms what it says.
     last: RefCell<Option<(Time, Vec<Entry>)>>,
     turn: Cell<usize>,
 }
@@ -101,33 +102,41 @@
     }
 
     /// Reads everything the fleet shares. The time is that from which the
-    /// answer confirms what it says.
-    pub async fn read(&self) -> Result<(Snapshot, Time)> {
-        let asked = self.fleet.now();
-        if let Some(reader) = self.reader()
-            && let Some((entries, age)) = self.ask(&reader).await
-        {
-            let confirms = Time(asked.0.saturating_sub(age.as_micros() as u64));
-            if confirms > self.fleet.view.borrow().confirmed {
-                let entries = entries.into_iter().map(Entry::into).collect();
-                return Ok((self.fleet.store.decode(entries), confirms));
+    /// answer confirms what it says; none if what this VM holds is as fresh.
+    pub async fn read(&self) -> Result<Option<(Snapshot, Time)>> {
+        let readers = self.readers();
+        let place = readers.iter().position(|member| &member.vm == self.fleet.vm());
+        let told = match self.source(&readers, place) {
+            Some(reader) => self.ask(reader).await,
+            None => None,
+        };
+        let (entries, confirms) = match told {
+            Some((_, confirms)) if confirms <= self.fleet.view.borrow().confirmed => {
+                return Ok(None);
             }
+            Some(told) => told,
+            None => self.read_store().await?,
+        };
+        if place.is_some() {
+            *self.last.borrow_mut() = Some((confirms, entries.clone()));
         }
+        let entries = entries.into_iter().map(Entry::into).collect();
+        Ok(Some((self.fleet.store.decode(entries), confirms)))
+    }
+
+    async fn read_store(&self) -> Result<(Vec<Entry>, Time)> {
         let asked = self.fleet.now();
         let entries = self.fleet.store.entries().await?;
-        if self.is_reader() {
-            let kept = entries.iter().cloned().map(Entry::from).collect();
-            *self.last.borrow_mut() = Some((asked, kept));
-        }
-        Ok((self.fleet.store.decode(entries), asked))
+        Ok((entries.into_iter().map(Entry::from).collect(), asked))
     }
 
     /// Pause between two reads, where `poll` is that of a VM that reads for itself.
     pub fn pause(&self, poll: Duration) -> Duration {
-        if self.is_reader() { poll.min(READER_POLL) } else { poll }
+        let reads = self.readers().iter().any(|member| &member.vm == self.fleet.vm());
+        if reads { poll.min(READER_POLL) } else { poll }
     }
 
-    /// The last direct read, for other VMs.
+    /// The last answer of the store, for other VMs.
     pub fn last(&self) -> Option<Vec<u8>> {
         let last = self.last.borrow();
         let (asked, entries) = last.as_ref()?;
@@ -139,21 +148,17 @@
         Some(aged.encode_to_vec())
     }
 
-    /// The VM whose answer this one uses; none if it reads itself.
-    fn reader(&self) -> Option<Member> {
-        let readers = self.readers();
-        if readers.is_empty() || readers.iter().any(|member| &member.vm == self.fleet.vm()) {
-            return None;
+    /// The VM whose answer this one uses, given its own place among the
+    /// readers; none if it reads itself.
+    fn source<'a>(&self, readers: &'a [Member], place: Option<usize>) -> Option<&'a Member> {
+        match place {
+            Some(place) => readers[..place].first(),
+            None if readers.is_empty() => None,
+            None => Some(&readers[self.turn.get() % readers.len()]),
         }
-        let turn = self.turn.get();
-        Some(readers[turn % readers.len()].clone())
-    }
-
-    fn is_reader(&self) -> bool {
-        self.readers().iter().any(|member| &member.vm == self.fleet.vm())
     }
 
-    /// VMs of this data centre that read the store; none if all do.
+    /// VMs of this data centre that others ask; none if all read the store.
     fn readers(&self) -> Vec<Member> {
         let view = self.fleet.view.borrow();
         if view.members.len() <= ALL_READ {
@@ -170,16 +175,17 @@
         local.into_iter().take(READERS).cloned().collect()
     }
 
-    async fn ask(&self, reader: &Member) -> Option<(Vec<Entry>, Duration)> {
-        let aged = match get(&self.fleet, reader, SNAPSHOT_PATH).await {
-            Some(body) => Aged::decode(body).ok(),
-            None => None,
-        };
+    /// Asks a reader for its last answer, and from when that confirms what it says.
+    async fn ask(&self, reader: &Member) -> Option<(Vec<Entry>, Time)> {
+        let asked = self.fleet.now();
+        let body = get(&self.fleet, reader, SNAPSHOT_PATH).await;
+        let aged = body.and_then(|body| Aged::decode(body).ok());
         if aged.is_none() {
             self.turn.set(self.turn.get().wrapping_add(1));
         }
-        let aged = aged?;
-        Some((aged.entries, Duration::from_millis(aged.age_ms)))
+        let Aged { age_ms, entries } = aged?;
+        let age = Duration::from_millis(age_ms);
+        Some((entries, Time(asked.0.saturating_sub(age.as_micros() as u64))))
     }
 }
 
