--- a/programs/src/command/demo/mod.rs
+++ b/programs/src/command/demo/mod.rs
@@ -26,7 +26,7 @@
 /// Runs the demo until Ctrl-C, or its check.
 pub async fn run(arguments: &Arguments) -> Result<(), Failure> {
     let level = if arguments.verbose { Level::Info } else { Level::Error };
-    let fleet = Fleet::start(Log { format: Format::Terminal, level }).await?;
+    let fleet = Fleet::start(Log { format: Format::Terminal, level, ..Log::default() }).await?;
     let outcome = if arguments.check {
         check::run(&fleet).await
     } else {
--- a/src/event/catalogue.rs
+++ b/src/event/catalogue.rs
@@ -43,6 +43,7 @@
     104 Listening Info "listening";
     105 TaskFailed Error "a task failed and was restarted";
     106 SpanEnded Debug "span ended";
+    107 LogLinesDropped Warning "log lines were dropped, more came than may be logged";
 
     201 SettingsReloaded Info "settings read again";
     202 SettingsRefused Error "changed settings are wrong, the old ones stay";
@@ -89,3 +90,10 @@
     901 PeerRefused Warning "a peer failed to prove itself";
     902 PeerLost Info "connection to a peer lost";
 }
+
+impl Event {
+    /// Whether its lines may be dropped first: nothing went wrong.
+    pub fn routine(self) -> bool {
+        matches!(self, Event::RequestServed | Event::ItemEnded)
+    }
+}
--- a/src/log/mod.rs
+++ b/src/log/mod.rs
@@ -1,9 +1,13 @@
 //! Structured logs: terminal lines or JSON objects on standard error.
 
+pub mod budget;
 pub mod story;
 
+use std::io::Write;
+
 use slog::{Drain, Level, Logger, o};
 
+use self::budget::Budget;
 use crate::settings;
 
 /// Builds the root logger.
@@ -19,10 +23,22 @@
 }
 
 /// Builds the root logger of a process whose lines are collected from its
-/// standard output, as JSON objects. Lines that find the queue full are
-/// dropped and counted, so a reader that is stuck holds nothing up.
+/// standard output, as JSON objects.
 pub fn standard_output(settings: &settings::Log) -> Logger {
-    root(slog_json::Json::default(std::io::stdout()).fuse(), level(settings))
+    to_writer(std::io::stdout(), settings)
+}
+
+/// Builds a root logger that writes JSON objects. A thread of its own writes;
+/// lines over the budget or that find its queue full are dropped and counted,
+/// so a reader that is stuck holds nothing up.
+pub fn to_writer<W>(writer: W, settings: &settings::Log) -> Logger
+where
+    W: Write + Send + 'static,
+{
+    let json = slog_json::Json::default(writer).fuse();
+    let queue = slog_async::Async::new(json).chan_size(LOG_QUEUE_RECORDS).build().fuse();
+    let drain = Budget::new(queue, settings.lines_per_s);
+    Logger::root(drain.filter_level(level(settings)).fuse(), o!())
 }
 
 /// A logger that drops everything.
@@ -48,4 +64,4 @@
 }
 
 /// Records that may wait for the log thread before new ones are dropped.
-const LOG_QUEUE_RECORDS: usize = 4_096;
+const LOG_QUEUE_RECORDS: usize = 1_024;
--- a/src/serve/channel.rs
+++ b/src/serve/channel.rs
@@ -12,7 +12,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http::{Request, StatusCode};
+use http::{Method, Request, StatusCode};
 use http_body_util::Full;
 
 use crate::clock::{Clock, Time};
@@ -128,11 +128,31 @@
         &self,
         address: SocketAddr,
         request: &Request<Bytes>,
+    ) -> std::result::Result<Reply, Lost> {
+        let begun = self.clock.now();
+        let outcome = self.exchange(address, request).await;
+        let way = if address == self.address { "direct" } else { "peer" };
+        let kind = if request.method() == Method::GET { "read" } else { "write" };
+        let answer = match &outcome {
+            Ok(_) => "answered",
+            Err(Lost::NotDone(_)) => "not done",
+            Err(Lost::Unknown(_)) => "unknown",
+        };
+        metrics::counter!("serve_store_calls_total", "way" => way, "kind" => kind,
+            "answer" => answer)
+        .increment(1);
+        metrics::histogram!("serve_store_call_seconds", "kind" => kind)
+            .record(begun.until(self.clock.now()).as_secs_f64());
+        outcome
+    }
+
+    async fn exchange(
+        &self,
+        address: SocketAddr,
+        request: &Request<Bytes>,
     ) -> std::result::Result<Reply, Lost> {
         let direct = address == self.address;
         let timeout = if direct { CALL_TIMEOUT } else { RELAY_TIMEOUT };
-        let way = if direct { "direct" } else { "peer" };
-        metrics::counter!("serve_store_calls_total", "way" => way).increment(1);
         let sent = request.clone().map(Full::new);
         let calling = async {
             let mut answer = self.pool.send(address, sent, CONNECT_TIMEOUT).await?;
--- /dev/null
+++ b/src/serve/gauge.rs
@@ -0,0 +1,32 @@
+//! Gauges, measured when the metrics page is asked for.
+
+use metrics::gauge;
+
+use super::fleet::Fleet;
+use super::jobs::Jobs;
+
+/// Measures all gauges of this VM.
+pub fn measure(fleet: &Fleet, jobs: &Jobs) {
+    let now = fleet.now();
+    let view = fleet.view.borrow();
+    gauge!("serve_store_age_seconds").set(view.confirmed.until(now).as_secs_f64());
+    let version = view.configuration.as_ref().map_or(0, |held| held.version);
+    gauge!("serve_configuration_version").set(version as f64);
+    gauge!("serve_members").set(view.members.len() as f64);
+    gauge!("serve_jobs", "of" => "fleet").set(view.pending.len() as f64);
+    drop(view);
+    let (mut usable, mut ejected, mut online, mut batch) = (0, 0, 0, 0);
+    for (_, entry) in fleet.table.borrow().iter() {
+        let counted = if entry.usable(now) { &mut usable } else { &mut ejected };
+        *counted += 1;
+        online += entry.own.online;
+        batch += entry.own.batch;
+    }
+    gauge!("serve_upstreams", "state" => "usable").set(f64::from(usable));
+    gauge!("serve_upstreams", "state" => "passed over").set(f64::from(ejected));
+    gauge!("serve_slots_taken", "use" => "online").set(f64::from(online));
+    gauge!("serve_slots_taken", "use" => "batch").set(f64::from(batch));
+    let (open, left) = jobs.open();
+    gauge!("serve_jobs", "of" => "this VM").set(open as f64);
+    gauge!("serve_items_left").set(left as f64);
+}
--- a/src/serve/inner.rs
+++ b/src/serve/inner.rs
@@ -13,6 +13,7 @@
 use super::channel::Channel;
 use super::fleet::Fleet;
 use super::front::{MAX_BODY_BYTES, copy_headers, listen};
+use super::gauge;
 use super::jobs::Jobs;
 use super::shared::{self, BODY_PATH, RESULTS_PATH, SNAPSHOT_PATH, Shared};
 use crate::api::caller::read;
@@ -51,6 +52,7 @@
     async fn answer(&self, request: HttpRequest, payload: web::Payload) -> HttpResponse {
         let path = request.path();
         if path == METRICS_PATH {
+            gauge::measure(&self.fleet, &self.jobs);
             return HttpResponse::Ok().content_type("text/plain").body(install_metrics().render());
         }
         if path == SNAPSHOT_PATH {
--- a/src/serve/jobs/dispatch.rs
+++ b/src/serve/jobs/dispatch.rs
@@ -54,6 +54,7 @@
 /// An item that runs.
 pub struct Running {
     pub(super) job: String,
+    pub(super) item: String,
     pub(super) key: Key,
     pub(super) started: Time,
     pub(super) interrupt: Rc<Notify>,
@@ -117,6 +118,7 @@
         let interrupt = Rc::new(Notify::new());
         self.running.borrow_mut().push(Running {
             job: start.job.clone(),
+            item: start.item.id.clone(),
             key: start.slot.key,
             started: self.fleet.now(),
             interrupt: interrupt.clone(),
@@ -228,6 +230,7 @@
             here.sort_by_key(|item| std::cmp::Reverse(item.started));
             for item in here.into_iter().take(count as usize) {
                 emit!(self.fleet.log, Event::ItemInterrupted, "job" => item.job.as_str(),
+                    "item" => item.item.as_str(),
                     "upstream" => entry.registration.upstream.as_str(), "slots" => slots,
                     "own_online" => entry.own.online, "own_batch" => entry.own.batch,
                     "peers_online" => entry.peers.online, "peers_batch" => entry.peers.batch,
--- a/src/serve/jobs/shell.rs
+++ b/src/serve/jobs/shell.rs
@@ -381,6 +381,12 @@
         owned.get(id)?.job.item(item).map(|item| item.body.clone())
     }
 
+    /// Number of jobs that this VM owns, and of their items whose results aren't stored.
+    pub fn open(&self) -> (usize, usize) {
+        let owned = self.owned.borrow();
+        (owned.len(), owned.values().map(|owned| owned.job.left()).sum())
+    }
+
     /// Jobs that this VM held before `asked` but that the store no longer names.
     pub(super) fn vanished(&self, asked: Time) -> Vec<String> {
         let view = self.fleet.view.borrow();
--- a/src/serve/mod.rs
+++ b/src/serve/mod.rs
@@ -23,6 +23,7 @@
 pub mod fleet;
 pub mod follow;
 pub mod front;
+mod gauge;
 pub mod inner;
 pub mod jobs;
 pub mod member;
--- a/src/serve/record.rs
+++ b/src/serve/record.rs
@@ -7,6 +7,9 @@
 use crate::emit;
 use crate::event::Event;
 
+/// Characters of a caller's identifier that are logged.
+const MAX_ID_CHARS: usize = 128;
+
 /// What is logged of a request when it ends, however it ends.
 pub struct Record {
     fleet: Rc<Fleet>,
@@ -41,7 +44,7 @@
             begun: fleet.now(),
             fleet,
             concluded: None,
-            request: request.to_owned(),
+            request: request.chars().take(MAX_ID_CHARS).collect(),
             version: 0,
             route: String::new(),
             organisation: String::new(),
--- a/src/settings/serve.rs
+++ b/src/settings/serve.rs
@@ -106,6 +106,6 @@
         if bounds.rate_overrun < 0.0 || bounds.rate_slack < 0.0 {
             return Err(("bounds.rate_overrun", "tolerances must not be negative".into()));
         }
-        Ok(())
+        self.log.check()
     }
 }
--- a/src/settings/standby.rs
+++ b/src/settings/standby.rs
@@ -21,6 +21,6 @@
         if self.vm.as_str().is_empty() {
             return Err(("vm", "must not be empty".into()));
         }
-        Ok(())
+        self.log.check()
     }
 }
--- /dev/null
+++ b/tests/log_budget.rs
@@ -0,0 +1,113 @@
+//! The bound on log lines.
+
+use std::io::Write;
+use std::sync::{Arc, Condvar, Mutex};
+use std::time::{Duration, Instant};
+
+use parsleybeam::clock::Time;
+use parsleybeam::emit;
+use parsleybeam::event::Event;
+use parsleybeam::log::budget::{Meter, Verdict};
+use parsleybeam::{log, settings};
+
+const RATE: u32 = 100;
+
+fn at(millis: u64) -> Time {
+    Time(0).after(Duration::from_millis(millis))
+}
+
+#[test]
+fn judge_routine_lines_yield_first() {
+    let mut meter = Meter::new(RATE, at(0));
+    let kept = (0..1_000).filter(|_| meter.judge(|| true, at(0)) == Verdict::Keep).count();
+    assert_eq!(kept, 100, "half of the burst of 200");
+    let kept = (0..1_000).filter(|_| meter.judge(|| false, at(0)) == Verdict::Keep).count();
+    assert!((99..=100).contains(&kept), "the other half is for the rest: {kept}");
+}
+
+#[test]
+fn judge_dropped_lines_are_reported() {
+    let mut meter = Meter::new(RATE, at(0));
+    let dropped =
+        (0..1_000).filter(|_| meter.judge(|| false, at(0)) == Verdict::Drop).count() as u64;
+    assert_eq!(meter.judge(|| false, at(500)), Verdict::Keep, "once a second at most");
+    assert_eq!(meter.judge(|| false, at(1_001)), Verdict::Report(dropped));
+    assert_eq!(meter.judge(|| false, at(2_100)), Verdict::Keep, "nothing is told twice");
+}
+
+#[test]
+fn judge_rate_holds_under_load() {
+    let mut meter = Meter::new(RATE, at(0));
+    let lines = (0..10_000).map(|millis| meter.judge(|| false, at(millis)));
+    let kept = lines.filter(|verdict| *verdict != Verdict::Drop).count();
+    assert!(kept <= 1_200, "10 s at 100 a second, and the burst: {kept}");
+}
+
+/// A writer that takes nothing until it is released.
+#[derive(Clone, Default)]
+struct Stuck(Arc<(Mutex<Option<Vec<u8>>>, Condvar)>);
+
+impl Stuck {
+    fn release(&self) {
+        *self.0.0.lock().expect("not poisoned") = Some(Vec::new());
+        self.0.1.notify_all();
+    }
+
+    fn text(&self) -> String {
+        let written = self.0.0.lock().expect("not poisoned").clone();
+        String::from_utf8(written.unwrap_or_default()).expect("lines are text")
+    }
+}
+
+impl Write for Stuck {
+    fn write(&mut self, bytes: &[u8]) -> std::io::Result<usize> {
+        let mut written = self.0.0.lock().expect("not poisoned");
+        while written.is_none() {
+            written = self.0.1.wait(written).expect("not poisoned");
+        }
+        written.as_mut().expect("released").extend_from_slice(bytes);
+        Ok(bytes.len())
+    }
+
+    fn flush(&mut self) -> std::io::Result<()> {
+        Ok(())
+    }
+}
+
+#[test]
+fn writer_stuck_holds_nothing_up() {
+    let stuck = Stuck::default();
+    let settings = settings::Log { lines_per_s: 100_000, ..settings::Log::default() };
+    let logger = log::to_writer(stuck.clone(), &settings);
+    let begun = Instant::now();
+    for _ in 0..20_000 {
+        emit!(logger, Event::RequestFailed, "request" => "r");
+    }
+    assert!(begun.elapsed() < Duration::from_secs(5), "took {:?}", begun.elapsed());
+    stuck.release();
+    while stuck.text().lines().count() < 1_000 {
+        std::thread::yield_now();
+    }
+    emit!(logger, Event::RequestFailed, "request" => "next");
+    drop(logger);
+    let text = stuck.text();
+    let lines = text.lines().count();
+    assert!((1_000..1_100).contains(&lines), "as many as may wait: {lines}");
+    assert!(text.contains("dropped"), "the next line tells the loss");
+}
+
+#[test]
+fn writer_flooded_gets_the_budget() {
+    let open = Stuck::default();
+    open.release();
+    let settings = settings::Log { lines_per_s: RATE, ..settings::Log::default() };
+    let logger = log::to_writer(open.clone(), &settings);
+    for _ in 0..2_000 {
+        emit!(logger, Event::RequestServed, "request" => "r");
+    }
+    emit!(logger, Event::RequestFailed, "request" => "failed");
+    drop(logger);
+    let text = open.text();
+    assert!(text.lines().count() < 300, "lines: {}", text.lines().count());
+    assert!(text.contains("failed"), "a failure keeps its line");
+}
