Stop sending requests that crash upstreams

Cause: nothing on the users' machines remembered a request that crashes each upstream that runs it; each time it came again, at any VM, it cost as many upstreams as its route has attempts, and an item of a job did so for ever. When an answer breaks off and the upstream takes no connection any more, the request (organisation, path, body) is suspected; VMs tell each other. After three crashes it is refused with 503, which is true, since it isn't sent; items rest and are tried twice more, ten seconds apart.

Ruled out: the keepers of route/poison, asked before each run, since this costs each request a message; here only failures cost one.

Tests (fail without the check): call_crashing_upstreams_is_stopped, job_item_crashing_upstreams_is_held; call_broken_by_living_upstreams_goes_on keeps mere breaks from counting.

--- a/src/serve/dialect.rs
+++ b/src/serve/dialect.rs
@@ -27,6 +27,16 @@
     pub body: Bytes,
 }
 
+impl Arrival {
+    /// Path and query, as sent.
+    pub fn target(&self) -> String {
+        match &self.query {
+            Some(query) => format!("{}?{query}", self.path),
+            None => self.path.clone(),
+        }
+    }
+}
+
 /// What a request's headers say.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Head {
--- a/src/serve/exchange.rs
+++ b/src/serve/exchange.rs
@@ -14,6 +14,7 @@
 use http_body_util::Full;
 
 use super::configuration::{Configuration, Kind as RouteKind, Route, Tenant};
+use super::crash;
 use super::dialect::{Arrival, Head, Send};
 use super::fleet::{Fleet, Slot, Use};
 use super::peers::Peers;
@@ -24,6 +25,7 @@
 use crate::clock::Time;
 use crate::error::{Error, Kind, Result};
 use crate::id::{Organisation, Service, Upstream};
+use crate::route::Fingerprint;
 use crate::transport::{Answer, Failure};
 
 /// Bound on connecting to an upstream.
@@ -47,6 +49,9 @@
 /// Wait named to callers that should use another VM.
 const OTHER_VM_RETRY: Duration = Duration::from_millis(200);
 
+/// Wait named to callers whose request crashes upstreams.
+const CRASHED_RETRY: Duration = Duration::from_secs(60);
+
 /// An answer for the caller.
 pub struct Reply {
     /// HTTP status.
@@ -83,6 +88,13 @@
     pub(super) begun: Time,
 }
 
+impl Admitted {
+    /// What the request is known by if it comes again.
+    pub(super) fn print(&self) -> Fingerprint {
+        crash::print(self.organisation.as_ref(), &self.arrival.target(), &self.arrival.body)
+    }
+}
+
 /// Sends of one request so far.
 #[derive(Debug, Default)]
 pub struct Course {
@@ -215,6 +227,7 @@
     let search_until = fleet.now().after(NO_UPSTREAM_TIMEOUT);
     loop {
         check_time(fleet, admitted, course)?;
+        check_crashes(fleet, admitted, course)?;
         let Some(choice) = choose(fleet, admitted, course) else {
             if !course.tried.is_empty() && refusals < MAX_REFUSALS {
                 course.tried.clear();
@@ -244,11 +257,13 @@
             }
             Ok(Err(Failure::Sent(reason))) => {
                 slot.failed(&reason);
+                crash::look(fleet, slot.address, admitted.print()).await;
                 fail_run(fleet, admitted, course, upstream, reason, record)?;
                 continue;
             }
             Err(_) => {
                 slot.failed("no answer in time");
+                crash::look(fleet, slot.address, admitted.print()).await;
                 fail_run(fleet, admitted, course, upstream, "no answer in time".into(), record)?;
                 continue;
             }
@@ -303,6 +318,7 @@
         Ok(Ok(body)) => body,
         Ok(Err(failure)) => {
             slot.failed(&failure.to_string());
+            crash::look(fleet, slot.address, admitted.print()).await;
             course.runs -= 1;
             fail_run(fleet, admitted, course, slot.upstream.clone(), failure.to_string(), record)?;
             return Ok(None);
@@ -395,6 +411,19 @@
     Ok(())
 }
 
+/// Ends a request that may have crashed too many upstreams.
+fn check_crashes(fleet: &Fleet, admitted: &Admitted, course: &Course) -> Result<()> {
+    let crashes = fleet.crashes.borrow();
+    if crashes.is_empty() || !crashes.stops(admitted.print()) {
+        return Ok(());
+    }
+    let detail = "upstreams that ran it crashed; it isn't sent any more";
+    if course.runs > 0 {
+        return Err(Error::new(Kind::OutcomeUnknown, detail));
+    }
+    Err(Error::new(Kind::NoUpstream, detail).retry_after(CRASHED_RETRY))
+}
+
 /// How long to wait for an answer's head.
 fn bound(fleet: &Fleet, admitted: &Admitted, course: &Course) -> Duration {
     let left = fleet.now().until(admitted.deadline);
@@ -417,11 +446,7 @@
     };
     let mut request = Request::new(Full::new(arrival.body.clone()));
     *request.method_mut() = arrival.method.clone();
-    let target = match &arrival.query {
-        Some(query) => format!("{}?{query}", arrival.path),
-        None => arrival.path.clone(),
-    };
-    *request.uri_mut() = target.parse().unwrap_or_default();
+    *request.uri_mut() = arrival.target().parse().unwrap_or_default();
     *request.headers_mut() = fleet.dialect.upstream_headers(&arrival.headers, &send);
     request
 }
--- a/src/serve/fleet.rs
+++ b/src/serve/fleet.rs
@@ -12,6 +12,7 @@
 use tokio::sync::Notify;
 
 use super::configuration::Configuration;
+use super::crash::Crashes;
 use super::dialect::Dialect;
 use super::jobs::Pending;
 use super::member::{self, Member};
@@ -66,6 +67,10 @@
     pub items_wait: Cell<bool>,
     /// Other VMs at which items wait.
     pub contenders: RefCell<Vec<Vm>>,
+    /// Requests that may have crashed upstreams.
+    pub crashes: RefCell<Crashes>,
+    /// Told when this VM has seen a crash.
+    pub crash_seen: Notify,
     /// Told when this VM's load has changed.
     pub load_changed: Notify,
     /// Told when any load has changed, or an item may run.
@@ -104,6 +109,8 @@
             stopping: Cell::new(false),
             items_wait: Cell::new(false),
             contenders: RefCell::default(),
+            crashes: RefCell::default(),
+            crash_seen: Notify::new(),
             load_changed: Notify::new(),
             work_changed: Notify::new(),
         })
--- a/src/serve/jobs/owner.rs
+++ b/src/serve/jobs/owner.rs
@@ -16,6 +16,8 @@
 const RETRY_AFTER_BREAK: Duration = Duration::from_millis(100);
 /// Wait before an item that made room looks for a slot again.
 const RETRY_AFTER_INTERRUPTION: Duration = Duration::from_millis(60);
+/// Wait before it is looked again whether an item that was held may run.
+const HELD: Duration = Duration::from_secs(2);
 /// Longest wait between attempts.
 const MAX_RETRY: Duration = Duration::from_secs(3);
 /// Wait for further results before a write, since each write has its price.
@@ -191,6 +193,7 @@
             Ended::Interrupted(progress) => {
                 State::Waiting { not_before: now.after(RETRY_AFTER_INTERRUPTION), progress }
             }
+            Ended::Held(progress) => State::Waiting { not_before: now.after(HELD), progress },
             Ended::Broken(progress) => {
                 self.breaks[index] += 1;
                 let wait = RETRY_AFTER_BREAK.saturating_mul(1 << self.breaks[index].min(5));
--- a/src/serve/jobs/run.rs
+++ b/src/serve/jobs/run.rs
@@ -10,10 +10,12 @@
 
 use super::record::{Head, Item};
 use crate::id::Organisation;
+use crate::route::Fingerprint;
+use crate::serve::crash;
 use crate::serve::dialect::Send;
 use crate::serve::event::Splitter;
 use crate::serve::fleet::{Fleet, Slot};
-use crate::transport::Answer;
+use crate::transport::{Answer, Failure};
 
 /// Time without a byte after which an attempt is given up.
 const SILENCE: Duration = Duration::from_millis(2_500);
@@ -46,6 +48,8 @@
     Interrupted(Progress),
     /// The upstream refused, broke off or fell silent.
     Broken(Progress),
+    /// It wasn't sent, since upstreams that ran it crashed.
+    Held(Progress),
 }
 
 impl Ended {
@@ -57,6 +61,7 @@
             Ended::Failed(_) => "failed",
             Ended::Interrupted(_) => "interrupted",
             Ended::Broken(_) => "broken",
+            Ended::Held(_) => "held",
         }
     }
 }
@@ -70,6 +75,11 @@
     progress: Progress,
     interrupt: &Notify,
 ) -> Ended {
+    let print = print(head, item);
+    let now = fleet.now();
+    if !fleet.crashes.borrow_mut().try_again(print, now) {
+        return Ended::Held(progress);
+    }
     let mut attempt = Attempt { fleet, slot, head, item, progress };
     // Events that arrived in time are kept when the slot is taken away.
     let ended = tokio::select! {
@@ -89,6 +99,12 @@
     }
 }
 
+/// What an item is known by.
+fn print(head: &Head, item: &Item) -> Fingerprint {
+    let organisation = Organisation::from(head.organisation.as_str());
+    crash::print(Some(&organisation), &item.path, &item.body)
+}
+
 enum End {
     Whole,
     Impossible,
@@ -109,15 +125,19 @@
         let send = self.fleet.pool.send(self.slot.address, self.request(), CONNECT_TIMEOUT);
         let answer = match tokio::time::timeout(SILENCE, send).await {
             Ok(Ok(answer)) => answer,
-            Ok(Err(failure)) => return self.broken(&failure.to_string()),
-            Err(_) => return self.broken("no answer"),
+            Ok(Err(failure @ Failure::NotSent(_))) => {
+                self.slot.failed(&failure.to_string());
+                return End::Broken;
+            }
+            Ok(Err(failure)) => return self.broken(&failure.to_string()).await,
+            Err(_) => return self.broken("no answer").await,
         };
         let verdict = self.fleet.dialect.verdict(answer.status, &answer.headers, &self.item.id);
         if verdict.refused {
             return End::Broken;
         }
         if !verdict.ours {
-            return self.broken("the answer belongs to another request");
+            return self.broken("the answer belongs to another request").await;
         }
         match answer.status {
             StatusCode::OK => self.read(answer).await,
@@ -134,8 +154,8 @@
             let piece = match tokio::time::timeout(SILENCE, answer.body.next()).await {
                 Ok(Ok(Some(piece))) => piece,
                 Ok(Ok(None)) => break,
-                Ok(Err(failure)) => return self.broken(&failure.to_string()),
-                Err(_) => return self.broken("the stream fell silent"),
+                Ok(Err(failure)) => return self.broken(&failure.to_string()).await,
+                Err(_) => return self.broken("the stream fell silent").await,
             };
             splitter.push(&piece);
             loop {
@@ -145,7 +165,7 @@
                         self.progress.last = Some(event.id);
                     }
                     Ok(None) => break,
-                    Err(fault) => return self.broken(&fault.to_string()),
+                    Err(fault) => return self.broken(&fault.to_string()).await,
                 }
             }
         }
@@ -153,13 +173,14 @@
             // Without framing a cut looks like the end: go on until nothing follows.
             Ok(()) if !answer.framed && self.progress.last != before => End::Broken,
             Ok(()) if !self.progress.events.is_empty() => End::Whole,
-            Ok(()) => self.broken("the stream has no event"),
-            Err(fault) => self.broken(&fault.to_string()),
+            Ok(()) => self.broken("the stream has no event").await,
+            Err(fault) => self.broken(&fault.to_string()).await,
         }
     }
 
-    fn broken(&self, reason: &str) -> End {
+    async fn broken(&self, reason: &str) -> End {
         self.slot.failed(reason);
+        crash::look(self.fleet, self.slot.address, print(self.head, self.item)).await;
         End::Broken
     }
 
--- a/src/serve/mod.rs
+++ b/src/serve/mod.rs
@@ -17,6 +17,7 @@
 
 pub mod channel;
 pub mod configuration;
+pub mod crash;
 pub mod dialect;
 pub mod event;
 pub mod exchange;
--- a/src/serve/node.rs
+++ b/src/serve/node.rs
@@ -115,6 +115,7 @@
     inner.serve(relay.socket)?;
     actix_rt::spawn(peers.clone().listen(jobs.clone()));
     actix_rt::spawn(peers.clone().announce());
+    actix_rt::spawn(peers.clone().announce_crashes());
     actix_rt::spawn(follower.clone().run());
     actix_rt::spawn(jobs.clone().dispatch());
     Ok(Node {
--- a/src/serve/peer.rs
+++ b/src/serve/peer.rs
@@ -5,6 +5,7 @@
 
 use prost::{Message, Oneof};
 
+use super::crash::Crash;
 use super::jobs::Pending;
 
 /// One datagram.
@@ -17,7 +18,7 @@
     #[prost(fixed64, tag = "2")]
     pub incarnation: u64,
     /// What it says.
-    #[prost(oneof = "Content", tags = "3, 4, 5, 6, 7")]
+    #[prost(oneof = "Content", tags = "3, 4, 5, 6, 7, 8")]
     pub content: Option<Content>,
 }
 
@@ -39,6 +40,9 @@
     /// The sender has accepted a job.
     #[prost(message, tag = "7")]
     Opened(Opened),
+    /// Crashes that the sender saw.
+    #[prost(message, tag = "8")]
+    Crashes(Crashes),
 }
 
 /// The sender's requests at all upstreams where it has any.
@@ -124,3 +128,11 @@
     #[prost(message, optional, tag = "2")]
     pub pending: Option<Pending>,
 }
+
+/// Requests that may have crashed upstreams.
+#[derive(Clone, PartialEq, Message)]
+pub struct Crashes {
+    /// One row for each crash.
+    #[prost(message, repeated, tag = "1")]
+    pub crashes: Vec<Crash>,
+}
--- a/src/serve/peers.rs
+++ b/src/serve/peers.rs
@@ -12,10 +12,11 @@
 
 use super::channel::Relays;
 use super::configuration::Tenant;
+use super::crash;
 use super::fleet::Fleet;
 use super::jobs::{Jobs, Pending};
 use super::member::{Member, owner};
-use super::peer::{Ask, Changed, Content, Datagram, Grant, Load, Opened, Row};
+use super::peer::{Ask, Changed, Content, Crashes, Datagram, Grant, Load, Opened, Row};
 use super::rate;
 use super::upstream::{self, PeerLoad};
 use crate::clock::Time;
@@ -31,6 +32,8 @@
 const HEARTBEAT: Duration = Duration::from_millis(250);
 /// The same in a fleet of more than `FEW` members; well within `SILENT`.
 const LARGE_HEARTBEAT: Duration = Duration::from_millis(500);
+/// Time after which crashes are told again.
+const CRASH_REPEAT: Duration = Duration::from_millis(1_000);
 /// Members of a small fleet.
 const FEW: usize = 12;
 /// Silence after which a peer's load isn't counted and callers aren't sent to it.
@@ -115,6 +118,22 @@
         }
     }
 
+    /// Tells what crashes this VM saw, at once and again and again, for ever.
+    pub async fn announce_crashes(self: Rc<Self>) {
+        loop {
+            let seen = self.fleet.crash_seen.notified();
+            let _ = tokio::time::timeout(CRASH_REPEAT, seen).await;
+            let crashes = self.fleet.crashes.borrow().own(self.fleet.now());
+            if crashes.is_empty() {
+                continue;
+            }
+            let bytes = self.datagram(Content::Crashes(Crashes { crashes }));
+            for address in self.others() {
+                self.send(&bytes, address);
+            }
+        }
+    }
+
     /// Says this VM's load once.
     pub fn say_load(&self) {
         self.sequence.set(self.sequence.get() + 1);
@@ -188,6 +207,7 @@
                 let Some(pending) = opened.pending else { return };
                 jobs.directory.borrow_mut().announce(&opened.job, pending, self.fleet.now());
             }
+            Some(Content::Crashes(said)) => crash::hear(&self.fleet, &said.crashes),
             None => {}
         }
     }
--- a/src/serve/relay.rs
+++ b/src/serve/relay.rs
@@ -11,6 +11,7 @@
 use futures_util::StreamExt;
 use futures_util::stream::{self, LocalBoxStream};
 
+use super::crash;
 use super::event::Splitter;
 use super::exchange::{self, Admitted, Broken, Course, Sent};
 use super::fleet::{Fleet, Slot};
@@ -96,6 +97,7 @@
                 Err(_) => "the stream fell silent".to_owned(),
             };
             self.slot.failed(&reason);
+            crash::look(&self.fleet, self.slot.address, self.admitted.print()).await;
             if !self.go_on(&reason).await {
                 return self.give_up(&reason);
             }
--- a/standins/src/machines/replica.rs
+++ b/standins/src/machines/replica.rs
@@ -30,6 +30,8 @@
     Failed(u16),
     /// One event comes twice.
     Doubled,
+    /// The replica crashes: the connection ends and no other is taken.
+    Crash,
 }
 
 /// A request as it arrived.
@@ -52,6 +54,7 @@
 
 #[derive(Debug, Default)]
 struct State {
+    down: bool,
     manners: VecDeque<Manner>,
     seen: Vec<Seen>,
 }
@@ -76,6 +79,9 @@
     let replica = Replica { address: listener.local_addr()?, state: state.clone() };
     thread::spawn(move || {
         for stream in listener.incoming().flatten() {
+            if state.lock().down {
+                return;
+            }
             let state = state.clone();
             // A broken connection concerns only its caller.
             thread::spawn(move || drop(serve(stream, &state, pause)));
@@ -103,9 +109,21 @@
     while let Some(seen) = read(&mut reader)? {
         let manner = {
             let mut state = state.lock();
+            if state.down {
+                return Ok(());
+            }
             state.seen.push(seen.clone());
-            state.manners.pop_front().unwrap_or(Manner::Whole)
+            let manner = state.manners.pop_front().unwrap_or(Manner::Whole);
+            state.down = manner == Manner::Crash;
+            manner
         };
+        if manner == Manner::Crash {
+            // The first connection wakes the listener, which then ends.
+            while TcpStream::connect(writer.local_addr()?).is_ok() {
+                thread::sleep(Duration::from_millis(1));
+            }
+            return Ok(());
+        }
         if !answer(&mut writer, &seen, manner, pause)? {
             return Ok(());
         }
