Measure how fast upstreams are, and refuse only where a request would wait

Cause: the time to a first event (50 ms) and the time in which a slot of a full upstream becomes free (90 ms) were constants that fit two sites. On slower engines requests would have been let in to wait for seconds, on faster ones refused though they fit. Both are now averages per service at each VM. A request for which a slot is free is never refused for lateness, so that a slow service isn't refused altogether, and goes on being measured. Refused callers are told to come back when room is expected, plus a spread.

Tests: online_expects_measured_pace, online_free_however_slow.

--- a/src/serve/exchange.rs
+++ b/src/serve/exchange.rs
@@ -18,7 +18,7 @@
 use super::dialect::{Arrival, Head, Send};
 use super::fleet::{Fleet, Slot, Use};
 use super::peers::Peers;
-use super::place::{self, Wish};
+use super::place::{self, Choice, Wish};
 use super::rate::Grant;
 use super::record::Record;
 use super::relay::Relay;
@@ -239,7 +239,7 @@
             continue;
         };
         if course.runs == 0 && resume.is_none() {
-            refuse_late(fleet, admitted, choice.expected_ms)?;
+            refuse_late(fleet, admitted, &choice)?;
         }
         let Some(slot) = fleet.occupy(choice.key, Use::Online) else { continue };
         record.attempts.push(slot.upstream.to_string());
@@ -335,7 +335,7 @@
         return Ok(None);
     }
     if status.is_success() {
-        slot.answered(admitted.begun.until(fleet.now()).as_secs_f64() * 1e3);
+        slot.answered();
     }
     record.conclude("answered");
     Ok(Some(Reply { status, headers, body: Body::Whole(body) }))
@@ -362,7 +362,7 @@
     Err(Error::new(Kind::OutcomeUnknown, format!("the upstream may have run it: {reason}")))
 }
 
-fn choose(fleet: &Fleet, admitted: &Admitted, course: &Course) -> Option<place::Choice> {
+fn choose(fleet: &Fleet, admitted: &Admitted, course: &Course) -> Option<Choice> {
     let wish = Wish {
         service: &admitted.service,
         data_centre: &fleet.member.data_centre,
@@ -372,30 +372,34 @@
     place::online(&fleet.table.borrow(), wish, fleet.now())
 }
 
-/// Refuses a request whose first event would come too late to be of use.
-fn refuse_late(fleet: &Fleet, admitted: &Admitted, expected_ms: f64) -> Result<()> {
-    if admitted.route.target_ms == 0 {
+/// Refuses a request that would wait for a slot until its first event comes
+/// too late to be of use. Where a slot is free nothing is gained by refusing.
+fn refuse_late(fleet: &Fleet, admitted: &Admitted, choice: &Choice) -> Result<()> {
+    if admitted.route.target_ms == 0 || choice.free {
         return Ok(());
     }
+    let expected_ms = choice.expected_ms;
     let waited_ms = admitted.begun.until(fleet.now()).as_secs_f64() * 1e3;
     let target_ms = admitted.route.target_ms as f64;
     if waited_ms + expected_ms <= target_ms * TARGET_SHARE {
         return Ok(());
     }
     let detail = format!("its first event would take {expected_ms:.0} ms");
-    Err(Error::new(Kind::Overloaded, detail).retry_after(retry_after(fleet)))
+    let room_ms = waited_ms + expected_ms - target_ms;
+    Err(Error::new(Kind::Overloaded, detail).retry_after(retry_after(fleet, room_ms as u64)))
 }
 
-/// When a refused caller should come back: spread, so that not all do at once.
-fn retry_after(fleet: &Fleet) -> Duration {
-    Duration::from_millis(MIN_RETRY_MS + fleet.draw() % RETRY_SPREAD_MS)
+/// When a refused caller should come back: once room is expected, spread, so
+/// that not all come at once.
+fn retry_after(fleet: &Fleet, room_ms: u64) -> Duration {
+    Duration::from_millis(room_ms.max(MIN_RETRY_MS) + fleet.draw() % RETRY_SPREAD_MS)
 }
 
 fn unserved(fleet: &Fleet, course: &Course, kind: Kind, detail: &str) -> Error {
     if course.runs > 0 {
         return Error::new(Kind::OutcomeUnknown, detail);
     }
-    Error::new(kind, detail).retry_after(retry_after(fleet))
+    Error::new(kind, detail).retry_after(retry_after(fleet, 0))
 }
 
 fn check_time(fleet: &Fleet, admitted: &Admitted, course: &Course) -> Result<()> {
--- a/src/serve/fleet.rs
+++ b/src/serve/fleet.rs
@@ -163,6 +163,9 @@
         let slot = Slot {
             key,
             use_,
+            taken: self.now(),
+            free: entry.load().total() <= entry.registration.slots,
+            answered: Cell::new(false),
             upstream: entry.registration.upstream.clone(),
             address: entry.registration.address,
             fleet: self.clone(),
@@ -191,6 +194,10 @@
     /// Where it listens.
     pub address: SocketAddr,
     use_: Use,
+    taken: Time,
+    /// Whether the upstream had a free slot for it.
+    free: bool,
+    answered: Cell<bool>,
     fleet: Rc<Fleet>,
 }
 
@@ -204,20 +211,36 @@
             "address" => self.address.to_string(), "reason" => reason, "pause_ms" => pause_ms);
     }
 
-    /// Notes that the first event came after this many milliseconds.
-    pub fn answered(&self, first_event_ms: f64) {
-        self.fleet.table.borrow_mut().answered(self.key, first_event_ms);
+    /// Notes that the first event came.
+    pub fn answered(&self) {
+        let took_ms = self.held_ms();
+        let mut table = self.fleet.table.borrow_mut();
+        table.answered(self.key, took_ms);
+        if self.free {
+            table.note_first_event(self.key, took_ms);
+        }
+        self.answered.set(true);
+    }
+
+    fn held_ms(&self) -> f64 {
+        self.taken.until(self.fleet.now()).as_secs_f64() * 1e3
     }
 }
 
 impl Drop for Slot {
     fn drop(&mut self) {
-        if let Some(entry) = self.fleet.table.borrow_mut().get_mut(self.key) {
+        let held_ms = self.held_ms();
+        let mut table = self.fleet.table.borrow_mut();
+        if self.use_ == Use::Online && self.answered.get() {
+            table.note_stay(self.key, held_ms);
+        }
+        if let Some(entry) = table.get_mut(self.key) {
             match self.use_ {
                 Use::Online => entry.own.online -= 1,
                 Use::Batch => entry.own.batch -= 1,
             }
         }
+        drop(table);
         self.fleet.load_changed.notify_one();
         self.fleet.work_changed.notify_one();
     }
--- a/src/serve/place.rs
+++ b/src/serve/place.rs
@@ -3,19 +3,18 @@
 //!
 //! Upstreams admit requests in order of arrival and know no priorities. A
 //! request goes where its first event is expected soonest, counting all VMs'
-//! requests. Batch items make room for online requests, so they cost an online
-//! request only the time of the interruption.
+//! requests; how fast upstreams are is measured for each service. Batch items
+//! make room for online requests, so they cost an online request only the time
+//! of the interruption.
 
 use std::hash::Hasher;
 
 use siphasher::sip::SipHasher13;
 
-use super::upstream::{Entry, Key, Table};
+use super::upstream::{Entry, Key, Pace, Table};
 use crate::clock::Time;
 use crate::id::{DataCentre, Service, Upstream, Vm};
 
-/// Time in which one slot of a full upstream becomes free, in milliseconds.
-const SLOT_TURN_MS: f64 = 90.0;
 /// Time in which a batch item makes room, in milliseconds.
 const PREEMPTION_MS: f64 = 20.0;
 /// What one running request adds to another's first event, in milliseconds.
@@ -28,8 +27,6 @@
 const SUSPECTS: u32 = 2;
 /// What such an upstream costs: it is used only when the others are full.
 const SUSPICION_MS: f64 = 250.0;
-/// Time to the first event at an upstream with a free slot, in milliseconds.
-const PREFILL_MS: f64 = 50.0;
 
 /// What is asked for.
 #[derive(Clone, Copy, Debug)]
@@ -51,6 +48,8 @@
     pub key: Key,
     /// Expected time to the first event, in milliseconds.
     pub expected_ms: f64,
+    /// Whether a slot is free, or a batch item makes room.
+    pub free: bool,
 }
 
 /// Chooses an upstream for an online request; none if no upstream is usable.
@@ -58,25 +57,27 @@
     let usable = |(_, entry): &(Key, &Entry)| {
         entry.usable(now) && !wish.tried.contains(&entry.registration.upstream)
     };
+    let pace = table.pace(wish.service);
     table
         .of_service(wish.service)
         .filter(usable)
         .map(|(key, entry)| {
-            let expected_ms = PREFILL_MS + wait_ms(entry);
+            let expected_ms = pace.first_event_ms + wait_ms(entry, pace);
+            let free = entry.load().online < entry.registration.slots;
             let jitter = f64::from((wish.draw as u32 ^ entry.number) % 64) / 32.0;
             let distance =
                 if &entry.registration.data_centre == wish.data_centre { 0.0 } else { DISTANCE_MS };
             let history = entry.first_event_ms * HISTORY_WEIGHT;
             let suspicion = if entry.suspects >= SUSPECTS { SUSPICION_MS } else { 0.0 };
             let cost = expected_ms + jitter + distance + history + suspicion;
-            (Choice { key, expected_ms }, cost)
+            (Choice { key, expected_ms, free }, cost)
         })
         .min_by(|(_, one), (_, other)| one.total_cmp(other))
         .map(|(choice, _)| choice)
 }
 
 /// Expected wait for a slot at an upstream, in milliseconds.
-fn wait_ms(entry: &Entry) -> f64 {
+fn wait_ms(entry: &Entry, pace: Pace) -> f64 {
     let load = entry.load();
     let slots = entry.registration.slots;
     let sharing = SHARING_MS * f64::from(load.total().min(slots));
@@ -86,7 +87,9 @@
     if load.online < slots {
         return sharing + PREEMPTION_MS;
     }
-    sharing + SLOT_TURN_MS * f64::from(load.online + 1 - slots)
+    // Of `slots` requests one ends each time this passes.
+    let turn_ms = pace.stay_ms / f64::from(slots.max(1));
+    sharing + turn_ms * f64::from(load.online + 1 - slots)
 }
 
 /// Where a batch item may go.
--- a/src/serve/relay.rs
+++ b/src/serve/relay.rs
@@ -124,7 +124,7 @@
             let first_ms = self.admitted.begun.until(now).as_secs_f64() * 1e3;
             self.first_event = Some(now);
             self.record.first_event_ms = Some(first_ms as u64);
-            self.slot.answered(first_ms);
+            self.slot.answered();
             metrics::histogram!("serve_first_event_seconds").record(first_ms / 1e3);
         }
         Ok(Some(events.freeze()))
--- a/src/serve/upstream.rs
+++ b/src/serve/upstream.rs
@@ -2,7 +2,6 @@
 
 use std::collections::HashMap;
 use std::hash::Hasher;
-use std::net::SocketAddr;
 use std::time::Duration;
 
 use siphasher::sip::SipHasher13;
@@ -10,7 +9,7 @@
 
 use super::store::Registration;
 use crate::clock::Time;
-use crate::id::{DataCentre, Service, Upstream};
+use crate::id::{Service, Upstream};
 
 new_key_type! {
     /// An upstream in the table.
@@ -23,8 +22,21 @@
 const EJECT: Duration = Duration::from_millis(400);
 /// Longest time without requests after failures in a row.
 const MAX_EJECT: Duration = Duration::from_secs(4);
-/// Weight of the newest sample in an average.
+/// Weight of the newest sample in an upstream's average.
 const SAMPLE_WEIGHT: f64 = 0.2;
+/// Weight of the newest sample in a service's average.
+const PACE_WEIGHT: f64 = 0.05;
+/// Pace of a service before anything was measured.
+const FIRST_PACE: Pace = Pace { first_event_ms: 50.0, stay_ms: 720.0 };
+
+/// How fast a service's upstreams answer, as this VM measured.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Pace {
+    /// Time to the first event where a slot was free, in milliseconds.
+    pub first_event_ms: f64,
+    /// Time for which an online request holds its slot, in milliseconds.
+    pub stay_ms: f64,
+}
 
 /// Requests that run at an upstream.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -120,6 +132,7 @@
     entries: SlotMap<Key, Entry>,
     by_name: HashMap<Upstream, Key>,
     by_number: HashMap<u32, Key>,
+    paces: HashMap<Service, Pace>,
     grace_until: Time,
 }
 
@@ -265,25 +278,28 @@
         entry.first_event_ms += (first_event_ms - entry.first_event_ms) * SAMPLE_WEIGHT;
     }
 
-    /// Whether an upstream at `address` under this name is still listed.
-    pub fn current(&self, key: Key, address: SocketAddr) -> bool {
-        self.entries.get(key).is_some_and(|entry| entry.registration.address == address)
+    /// How fast a service's upstreams answer.
+    pub fn pace(&self, service: &Service) -> Pace {
+        self.paces.get(service).copied().unwrap_or(FIRST_PACE)
+    }
+
+    /// Notes a first event that came this many milliseconds after its request
+    /// had found a free slot.
+    pub fn note_first_event(&mut self, key: Key, sample_ms: f64) {
+        if let Some(pace) = self.pace_mut(key) {
+            pace.first_event_ms += (sample_ms - pace.first_event_ms) * PACE_WEIGHT;
+        }
     }
 
-    /// Slots of all usable upstreams of a service, and requests that run there.
-    pub fn capacity(&self, service: &Service, now: Time) -> (u32, Load) {
-        let mut slots = 0;
-        let mut load = Load::default();
-        for (_, entry) in self.of_service(service).filter(|(_, entry)| entry.usable(now)) {
-            slots += entry.registration.slots;
-            load.online += entry.load().online;
-            load.batch += entry.load().batch;
+    /// Notes that an online request held its slot for this many milliseconds.
+    pub fn note_stay(&mut self, key: Key, sample_ms: f64) {
+        if let Some(pace) = self.pace_mut(key) {
+            pace.stay_ms += (sample_ms - pace.stay_ms) * PACE_WEIGHT;
         }
-        (slots, load)
     }
 
-    /// Data centre of an upstream.
-    pub fn data_centre(&self, key: Key) -> Option<&DataCentre> {
-        self.entries.get(key).map(|entry| &entry.registration.data_centre)
+    fn pace_mut(&mut self, key: Key) -> Option<&mut Pace> {
+        let service = self.entries.get(key)?.registration.service.clone();
+        Some(self.paces.entry(service).or_insert(FIRST_PACE))
     }
 }
--- a/tests/serve_place.rs
+++ b/tests/serve_place.rs
@@ -189,3 +189,36 @@
     assert_eq!(to_interrupt(10, 8, 2, 3), 0);
     assert_eq!(to_interrupt(8, 8, 0, 5), 0);
 }
+
+#[test]
+fn online_expects_measured_pace() {
+    let mut table = table(&["a"]);
+    let key = table.iter().next().expect("one upstream").0;
+    for _ in 0..200 {
+        table.note_first_event(key, 400.0);
+        table.note_stay(key, 4_000.0);
+    }
+    let (_, idle_ms) = Place::new().online(&table).expect("one is usable");
+    assert!((390.0..450.0).contains(&idle_ms), "an idle upstream: {idle_ms} ms");
+    table.set_peers([peer("a", 11, 0)]);
+    let (_, full_ms) = Place::new().online(&table).expect("one is usable");
+    assert!((2_300.0..2_500.0).contains(&full_ms), "four turns of 500 ms: {full_ms} ms");
+}
+
+#[test]
+fn online_free_however_slow() {
+    let mut table = table(&["a"]);
+    let key = table.iter().next().expect("one upstream").0;
+    for _ in 0..200 {
+        table.note_first_event(key, 5_000.0);
+    }
+    let free = |table: &Table| {
+        let place = Place::new();
+        place::online(table, place.wish(&[]), NOW).expect("one is usable").free
+    };
+    assert!(free(&table), "nobody waits there");
+    table.set_peers([peer("a", 5, 3)]);
+    assert!(free(&table), "items make room");
+    table.set_peers([peer("a", 8, 0)]);
+    assert!(!free(&table));
+}
