Soak the real programs under faults from outside

Callers keep their connections. Checked: whole bodies and signatures, no second run of requests that may run once, nothing run that was refused, no key past its withdrawal, attempts, jobs kept with fixed positions, all VMs serving at the end. A short run with a fixed seed is part of the tests.

--- /dev/null
+++ b/programs/tests/soak.rs
@@ -0,0 +1,26 @@
+//! A short soak of the real programs, with fixed seeds.
+
+use std::path::PathBuf;
+use std::time::Duration;
+
+use standins::soak::{self, Options, Report};
+
+fn run(seed: u64) -> Report {
+    let folder = tempfile::tempdir().expect("a folder");
+    let options = Options {
+        seed,
+        length: Duration::from_secs(8),
+        vms: 3,
+        replicas: 4,
+        program: PathBuf::from(env!("CARGO_BIN_EXE_parsleybeam-serve")),
+        folder: folder.path().to_owned(),
+    };
+    soak::run(&options).expect("the site starts")
+}
+
+#[test]
+fn run_short() {
+    let report = run(1);
+    assert!(report.broken.is_empty(), "{report}");
+    assert!(report.faults > 5 && report.served > 20 && report.jobs > 0, "{report}");
+}
--- a/standins/src/bin/parsleybeam-bench.rs
+++ b/standins/src/bin/parsleybeam-bench.rs
@@ -2,11 +2,15 @@
 
 use std::path::PathBuf;
 use std::process::ExitCode;
+use std::time::Duration;
 
 use gumdrop::{Options, ParsingStyle};
 use standins::bench::experiment;
 use standins::bench::{Report, Setup, Site, plot, random, slopes};
+use standins::soak;
 
+/// The program of an entry VM, next to this one.
+const SERVE_PROGRAM: &str = "parsleybeam-serve";
 /// Exit code for wrong arguments.
 const BAD_ARGUMENTS: u8 = 2;
 
@@ -30,6 +34,8 @@
     /// print what a node spends on control as the fleet grows; exit 1 when a
     /// bound isn't kept
     Slopes(Slopes),
+    /// run the real programs as processes under faults; exit 1 when a promise breaks
+    Soak(Soak),
 }
 
 #[derive(Debug, Options)]
@@ -84,6 +90,27 @@
     seed: u64,
 }
 
+#[derive(Debug, Options)]
+struct Soak {
+    /// print this help
+    help: bool,
+    /// seed of the faults
+    #[options(no_short, default = "1")]
+    seed: u64,
+    /// seconds for which faults strike
+    #[options(no_short, long = "for", default = "20")]
+    seconds: u64,
+    /// entry VMs
+    #[options(no_short, default = "4")]
+    vms: usize,
+    /// replicas
+    #[options(no_short, default = "5")]
+    replicas: usize,
+    /// folder for settings and logs; made new if not named
+    #[options(no_short, meta = "DIR")]
+    folder: Option<PathBuf>,
+}
+
 fn main() -> ExitCode {
     let words: Vec<String> = std::env::args().skip(1).collect();
     let arguments = match Arguments::parse_args(&words, ParsingStyle::AllOptions) {
@@ -99,6 +126,7 @@
         Some(Command::Run(options)) => run(&options),
         Some(Command::Random(options)) => random_run(&options),
         Some(Command::Slopes(options)) => print_slopes(&options),
+        Some(Command::Soak(options)) => run_soak(&options),
         None => wrong("name a command; see parsleybeam-bench --help"),
     }
 }
@@ -178,3 +206,39 @@
     print!("{text}");
     if holds { ExitCode::SUCCESS } else { ExitCode::FAILURE }
 }
+
+fn run_soak(options: &Soak) -> ExitCode {
+    if options.vms == 0 || options.replicas == 0 {
+        return wrong("--vms and --replicas must be 1 or more");
+    }
+    let made = options.folder.clone().map_or_else(new_folder, Ok);
+    let program = std::env::current_exe().map(|path| path.with_file_name(SERVE_PROGRAM));
+    let (folder, program) = match (made, program) {
+        (Ok(folder), Ok(program)) => (folder, program),
+        (Err(error), _) | (_, Err(error)) => return wrong(&error.to_string()),
+    };
+    if !program.exists() {
+        return wrong(&format!("{} is missing; build the workspace", program.display()));
+    }
+    let (seed, length) = (options.seed, Duration::from_secs(options.seconds));
+    let (vms, replicas) = (options.vms, options.replicas);
+    let setup = soak::Options { seed, length, vms, replicas, program, folder: folder.clone() };
+    let report = match soak::run(&setup) {
+        Ok(report) => report,
+        Err(error) => return wrong(&error.to_string()),
+    };
+    print!("seed {seed}: {report}");
+    if report.broken.is_empty() {
+        if options.folder.is_none() {
+            // A folder of our own is of no use after a good run; one that stays is only litter.
+            let _ = std::fs::remove_dir_all(&folder);
+        }
+        return ExitCode::SUCCESS;
+    }
+    println!("logs: {}", folder.display());
+    ExitCode::FAILURE
+}
+
+fn new_folder() -> std::io::Result<PathBuf> {
+    tempfile::Builder::new().prefix("parsleybeam-soak-").tempdir().map(tempfile::TempDir::keep)
+}
--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod plain;
 pub mod record;
 pub mod server;
+pub mod soak;
 pub mod vms;
 pub mod weights;
 
--- /dev/null
+++ b/standins/src/machines/caller.rs
@@ -0,0 +1,130 @@
+//! A caller of the users' machines, on plain sockets.
+
+use std::io::{self, BufRead, BufReader, Read, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::time::Duration;
+
+use serde_json::Value;
+
+/// An answer as a caller sees it.
+#[derive(Debug, Default)]
+pub struct Answer {
+    /// HTTP status; zero if no answer came.
+    pub status: u16,
+    /// Headers, names in lower case.
+    pub headers: Vec<(String, String)>,
+    /// Body as far as it came.
+    pub body: Vec<u8>,
+    /// Whether the body is complete.
+    pub whole: bool,
+}
+
+impl Answer {
+    /// A header's value.
+    pub fn header(&self, name: &str) -> Option<&str> {
+        self.headers.iter().find(|(one, _)| one == name).map(|(_, value)| value.as_str())
+    }
+
+    /// The body as text.
+    pub fn text(&self) -> String {
+        String::from_utf8_lossy(&self.body).into_owned()
+    }
+
+    /// The body as JSON.
+    pub fn json(&self) -> Value {
+        serde_json::from_slice(&self.body).expect("the body is JSON")
+    }
+}
+
+/// The bytes of a request with a key.
+pub fn request(
+    method: &str,
+    path: &str,
+    headers: &[(&str, &str)],
+    key: &str,
+    body: &[u8],
+) -> Vec<u8> {
+    let mut text = format!(
+        "{method} {path} HTTP/1.1\r\nHost: host.example\r\nAuthorization: Bearer {key}\r\n\
+         Parsleybeam-Request-Deadline: 5000\r\nContent-Length: {}\r\n",
+        body.len()
+    );
+    for (name, value) in headers {
+        text += &format!("{name}: {value}\r\n");
+    }
+    text += "\r\n";
+    let mut bytes = text.into_bytes();
+    bytes.extend_from_slice(body);
+    bytes
+}
+
+/// An open connection.
+pub struct Connection {
+    reader: BufReader<TcpStream>,
+}
+
+impl Connection {
+    /// Connects; reads wait at most for `patience`.
+    pub fn open(address: SocketAddr, patience: Duration) -> io::Result<Self> {
+        let stream = TcpStream::connect_timeout(&address, patience)?;
+        stream.set_read_timeout(Some(patience))?;
+        stream.set_nodelay(true)?;
+        Ok(Self { reader: BufReader::new(stream) })
+    }
+
+    /// Sends a request and reads its answer; a connection that breaks leaves
+    /// the answer as far as it came, with the error.
+    pub fn exchange(&mut self, bytes: &[u8]) -> (Answer, io::Result<()>) {
+        let mut answer = Answer::default();
+        let outcome = self.try_exchange(bytes, &mut answer);
+        (answer, outcome)
+    }
+
+    fn try_exchange(&mut self, bytes: &[u8], answer: &mut Answer) -> io::Result<()> {
+        self.reader.get_mut().write_all(bytes)?;
+        let mut line = String::new();
+        if self.reader.read_line(&mut line)? == 0 {
+            return Err(io::ErrorKind::UnexpectedEof.into());
+        }
+        answer.status = line.split(' ').nth(1).and_then(|text| text.parse().ok()).unwrap_or(0);
+        loop {
+            line.clear();
+            self.reader.read_line(&mut line)?;
+            let Some((name, value)) = line.trim_end().split_once(':') else { break };
+            answer.headers.push((name.to_ascii_lowercase(), value.trim().to_owned()));
+        }
+        if answer.header("transfer-encoding").is_some() {
+            return self.read_chunks(answer);
+        }
+        let length = answer.header("content-length").and_then(|text| text.parse().ok());
+        answer.body = vec![0; length.unwrap_or(0)];
+        self.reader.read_exact(&mut answer.body)?;
+        answer.whole = true;
+        Ok(())
+    }
+
+    fn read_chunks(&mut self, answer: &mut Answer) -> io::Result<()> {
+        loop {
+            let mut line = String::new();
+            self.reader.read_line(&mut line)?;
+            let Ok(length) = usize::from_str_radix(line.trim(), 16) else {
+                return Err(io::ErrorKind::InvalidData.into());
+            };
+            let mut piece = vec![0; length + 2];
+            self.reader.read_exact(&mut piece)?;
+            if length == 0 {
+                answer.whole = true;
+                return Ok(());
+            }
+            answer.body.extend_from_slice(&piece[..length]);
+        }
+    }
+}
+
+/// Sends a request on a connection of its own.
+pub fn exchange(address: SocketAddr, bytes: &[u8], patience: Duration) -> Answer {
+    match Connection::open(address, patience) {
+        Ok(mut connection) => connection.exchange(bytes).0,
+        Err(_) => Answer::default(),
+    }
+}
--- a/standins/src/machines/replica.rs
+++ b/standins/src/machines/replica.rs
@@ -43,6 +43,8 @@
     pub headers: Vec<(String, String)>,
     /// Body.
     pub body: Vec<u8>,
+    /// Whether the replica began to run it.
+    pub ran: bool,
 }
 
 impl Seen {
@@ -112,8 +114,8 @@
             if state.down {
                 return Ok(());
             }
-            state.seen.push(seen.clone());
             let manner = state.manners.pop_front().unwrap_or(Manner::Whole);
+            state.seen.push(Seen { ran: manner != Manner::Refused, ..seen.clone() });
             state.down = manner == Manner::Crash;
             manner
         };
