Let items take every free slot

An interrupted item goes on after its last event, so a burst finds room within a message's time without the reserve.

--- a/src/serve/jobs/dispatch.rs
+++ b/src/serve/jobs/dispatch.rs
@@ -1,10 +1,10 @@
 //! Which items run where, and which make room for online requests.
 //!
-//! Items take the slots that online requests leave, all but a reserve at each
-//! upstream, so that a burst finds room. When online requests and items
-//! together exceed an upstream's slots, the VMs that run items there interrupt
-//! the newest ones, in the order of their names, until the rest fits. An
-//! interrupted item goes on elsewhere after the last event that it has.
+//! Items take all slots that online requests leave. When online requests and
+//! items together exceed an upstream's slots, the VMs that run items there
+//! interrupt the newest ones, in the order of their names, until the rest fits.
+//! An interrupted item goes on elsewhere after the last event that it has, so
+//! it loses little, and no slot has to be kept free for a burst.
 //!
 //! Answers steps of online load within seconds, with batch load that leaves
 //! few slots free on average, and items that wait at many VMs at once.
@@ -26,8 +26,6 @@
 use crate::serve::place::{self, BatchPlace, Wish};
 use crate::serve::upstream::Key;
 
-/// Slots at each upstream that items leave free.
-pub const RESERVE_SLOTS: u32 = 1;
 /// Most items that a VM starts at one moment, so that VMs see each other's.
 const MAX_STARTS: usize = 2;
 /// Pause between moments at which items start.
@@ -189,7 +187,7 @@
         let contenders = self.fleet.contenders.borrow();
         let slice = unix_ms() / TURN.as_millis() as u64;
         let turn = |upstream| place::is_turn(self.fleet.vm(), &contenders, upstream, slice);
-        let place = place::batch(&self.fleet.table.borrow(), wish, RESERVE_SLOTS, turn, now);
+        let place = place::batch(&self.fleet.table.borrow(), wish, turn, now);
         match place {
             BatchPlace::Here(key) => self.fleet.occupy(key, Use::Batch).ok_or(Choice::NoRoom),
             BatchPlace::NotYet => Err(Choice::NotYet),
--- a/src/serve/place.rs
+++ b/src/serve/place.rs
@@ -103,9 +103,9 @@
     Nowhere,
 }
 
-/// Chooses an upstream for a batch item: one that keeps `reserve` slots free
-/// and at which it is this VM's turn.
-pub fn batch<T>(table: &Table, wish: Wish<'_>, reserve: u32, turn: T, now: Time) -> BatchPlace
+/// Chooses an upstream for a batch item: one that has a free slot and at which
+/// it is this VM's turn.
+pub fn batch<T>(table: &Table, wish: Wish<'_>, turn: T, now: Time) -> BatchPlace
 where
     T: Fn(u32) -> bool,
 {
@@ -115,7 +115,7 @@
         .filter(|(_, entry)| {
             entry.usable(now)
                 && entry.suspects < SUSPECTS
-                && entry.load().total() + reserve < entry.registration.slots
+                && entry.load().total() < entry.registration.slots
         })
         .filter(|(_, entry)| {
             let ours = turn(entry.number);
