--- a/src/serve/fleet.rs
+++ b/src/serve/fleet.rs
@@ -16,7 +16,6 @@
 use super::dialect::Dialect;
 use super::jobs::Pending;
 use super::member::{self, Member};
-use super::peer::Need;
 use super::rate::{Ledger, Tolerance};
 use super::store::Store;
 use super::upstream::{Key, Table};
@@ -64,10 +63,10 @@
     pub ledger: RefCell<Ledger>,
     /// Whether a planned stop has begun.
     pub stopping: Cell<bool>,
-    /// What the items need that wait here for a slot.
-    pub need: Cell<Need>,
+    /// Whether items of jobs wait here for a slot.
+    pub items_wait: Cell<bool>,
     /// Other VMs at which items wait.
-    pub contenders: RefCell<Vec<(Vm, Need)>>,
+    pub contenders: RefCell<Vec<Vm>>,
     /// Requests that may have crashed upstreams.
     pub crashes: RefCell<Crashes>,
     /// Told when this VM has seen a crash.
@@ -108,7 +107,7 @@
             view: RefCell::default(),
             ledger: RefCell::new(ledger),
             stopping: Cell::new(false),
-            need: Cell::new(Need::Nothing),
+            items_wait: Cell::new(false),
             contenders: RefCell::default(),
             crashes: RefCell::default(),
             crash_seen: Notify::new(),
--- a/src/serve/jobs/dispatch.rs
+++ b/src/serve/jobs/dispatch.rs
@@ -6,19 +6,15 @@
 //! An interrupted item goes on elsewhere after the last event that it has, so
 //! it loses little, and no slot has to be kept free for a burst.
 //!
-//! Items that can still be done in time come first, on all VMs: an item that is
-//! late earns the caller little, and would make the next one late as well.
-//!
 //! Answers steps of online load within seconds, with batch load that leaves
 //! few slots free on average, and items that wait at many VMs at once.
 
-use std::cmp::Reverse;
 use std::rc::Rc;
 use std::time::Duration;
 
 use tokio::sync::Notify;
 
-use super::owner::{Job, Next};
+use super::owner::Next;
 use super::record::{Head, Item};
 use super::run::{self, Ended};
 use super::shell::{Jobs, unix_ms};
@@ -27,7 +23,6 @@
 use crate::event::Event;
 use crate::id::Service;
 use crate::serve::fleet::{Slot, Use};
-use crate::serve::peer::Need;
 use crate::serve::place::{self, BatchPlace, Wish};
 use crate::serve::upstream::Key;
 
@@ -38,10 +33,6 @@
 /// Longest time between two looks at what may run.
 const LOOK: Duration = Duration::from_millis(200);
 
-/// Time that an item is expected to run before any was measured, in seconds.
-pub(super) const FIRST_ITEM_S: f64 = 2.0;
-/// Weight of the newest item in the average of their times.
-const ITEM_WEIGHT: f64 = 0.2;
 /// Time for which one VM alone may take room at an upstream.
 const TURN: Duration = Duration::from_millis(25);
 
@@ -96,7 +87,7 @@
                     break;
                 }
             }
-            self.say_need();
+            self.say_waiting(choice != Choice::Nothing);
             match choice {
                 Choice::Started => tokio::time::sleep(START_PAUSE).await,
                 Choice::NotYet => tokio::time::sleep(TURN).await,
@@ -107,23 +98,13 @@
         }
     }
 
-    /// Tells the other VMs what the items need that wait here.
-    fn say_need(&self) {
-        let now = self.fleet.now();
-        let item = self.item_time();
-        let owned = self.owned.borrow();
-        let waiting = owned.values().map(|owned| &owned.job).filter(|job| job.has_ready(now));
-        let need = waiting.map(|job| job.need(now, item)).max().unwrap_or(Need::Nothing);
-        if self.fleet.need.replace(need) != need {
+    /// Tells the other VMs whether items wait here.
+    fn say_waiting(&self, waiting: bool) {
+        if self.fleet.items_wait.replace(waiting) != waiting {
             self.fleet.load_changed.notify_one();
         }
     }
 
-    /// Time that an item runs if nothing interrupts it, as measured here.
-    fn item_time(&self) -> Duration {
-        Duration::from_secs_f64(self.item_s.get())
-    }
-
     fn start_one(self: &Rc<Self>) -> Choice {
         if self.fleet.stopping.get() {
             return Choice::Nothing;
@@ -145,18 +126,16 @@
         Choice::Started
     }
 
-    /// The first item that finds a slot: those that can still be done in time
-    /// come first, then by the time their job is due.
+    /// The first item, by the time its job is due, that finds a slot.
     fn choose(&self) -> std::result::Result<Start, Choice> {
         let now = self.fleet.now();
         let configuration = self.fleet.configuration().ok_or(Choice::Nothing)?;
         let mut owned = self.owned.borrow_mut();
-        let item_time = self.item_time();
-        let rank = |job: &Job| (Reverse(job.need(now, item_time)), job.due, job.id.clone());
-        let mut order: Vec<_> = owned.values().map(|owned| rank(&owned.job)).collect();
+        let mut order: Vec<(Time, String)> =
+            owned.values().map(|owned| (owned.job.due, owned.job.id.clone())).collect();
         order.sort();
         let mut choice = Choice::Nothing;
-        for (Reverse(need), _, id) in order {
+        for (_, id) in order {
             let Some(owned) = owned.get_mut(&id) else { continue };
             let job = &mut owned.job;
             let Some(route) = configuration.route(&job.head.host, &job.head.path) else {
@@ -165,7 +144,7 @@
             if !job.has_ready(now) {
                 continue;
             }
-            let slot = match self.find_slot(route.target(self.fleet.draw()), need, now) {
+            let slot = match self.find_slot(route.target(self.fleet.draw()), now) {
                 Ok(slot) => slot,
                 Err(reason) => {
                     choice = reason;
@@ -198,22 +177,16 @@
         }
     }
 
-    fn find_slot(
-        &self,
-        service: Option<&Service>,
-        need: Need,
-        now: Time,
-    ) -> std::result::Result<Slot, Choice> {
+    fn find_slot(&self, service: Option<&Service>, now: Time) -> std::result::Result<Slot, Choice> {
         let wish = Wish {
             service: service.ok_or(Choice::NoRoom)?,
             data_centre: &self.fleet.member.data_centre,
             tried: &[],
             draw: self.fleet.draw(),
         };
-        let equals = place::equals(&self.fleet.contenders.borrow(), need);
-        let equals = equals.ok_or(Choice::NotYet)?;
+        let contenders = self.fleet.contenders.borrow();
         let slice = unix_ms() / TURN.as_millis() as u64;
-        let turn = |upstream| place::is_turn(self.fleet.vm(), &equals, upstream, slice);
+        let turn = |upstream| place::is_turn(self.fleet.vm(), &contenders, upstream, slice);
         let place = place::batch(&self.fleet.table.borrow(), wish, turn, now);
         match place {
             BatchPlace::Here(key) => self.fleet.occupy(key, Use::Batch).ok_or(Choice::NoRoom),
@@ -225,17 +198,11 @@
     async fn run_item(self: Rc<Self>, start: Start, interrupt: Rc<Notify>) {
         let Start { job, head, item, next, max_attempts, slot } = start;
         let (upstream, index) = (slot.upstream.clone(), next.index);
-        let (fresh, begun) = (next.progress.last.is_none(), self.fleet.now());
         let ended = run::run(&self.fleet, slot, &head, &item, next.progress, &interrupt).await;
         self.running.borrow_mut().retain(|running| !Rc::ptr_eq(&running.interrupt, &interrupt));
         emit!(self.fleet.log, Event::ItemEnded, "job" => job.as_str(), "item" => item.id.as_str(),
             "upstream" => upstream.as_str(), "outcome" => ended.as_str());
         metrics::counter!("serve_item_attempts_total", "outcome" => ended.as_str()).increment(1);
-        if fresh && matches!(ended, Ended::Completed(_)) {
-            let took_s = begun.until(self.fleet.now()).as_secs_f64();
-            let before_s = self.item_s.get();
-            self.item_s.set(before_s + (took_s - before_s) * ITEM_WEIGHT);
-        }
         let stored = matches!(ended, Ended::Completed(_) | Ended::Impossible | Ended::Failed(_));
         if let Some(owned) = self.owned.borrow_mut().get_mut(&job) {
             owned.job.ended(index, ended, max_attempts, self.fleet.now());
--- a/src/serve/jobs/owner.rs
+++ b/src/serve/jobs/owner.rs
@@ -9,7 +9,6 @@
 use super::record::{Head, Listed, Outcome, Partial, Spec};
 use super::run::{Ended, Progress};
 use crate::clock::Time;
-use crate::serve::peer::Need;
 
 /// Wait before an item that failed is tried again.
 const RETRY_AFTER_FAILURE: Duration = Duration::from_millis(200);
@@ -164,11 +163,6 @@
         )
     }
 
-    /// What its waiting items need, where an item runs for `item`.
-    pub fn need(&self, now: Time, item: Duration) -> Need {
-        if now < self.due { Need::InTime } else { Need::Late }
-    }
-
     /// Items whose result isn't stored yet.
     pub fn left(&self) -> usize {
         self.states.iter().filter(|state| **state != State::Listed).count()
--- a/src/serve/jobs/shell.rs
+++ b/src/serve/jobs/shell.rs
@@ -10,7 +10,7 @@
 
 use super::archive::{Archive, Listing};
 use super::directory::Directory;
-use super::dispatch::{FIRST_ITEM_S, Running};
+use super::dispatch::Running;
 use super::owner::{Job, Settled, Stored, Times};
 use super::record::{
     Head, Item, Pending, Spec, ended_key, head_key, pending_key, result_key, spec_key,
@@ -48,8 +48,6 @@
     pub(super) taking_over: Cell<bool>,
     /// Told when this VM leaves.
     pub(super) leaving: Notify,
-    /// Average time of an item that nothing interrupts, in seconds.
-    pub(super) item_s: Cell<f64>,
     /// Jobs whose acceptance is under way.
     pub(super) accepting: RefCell<HashSet<String>>,
 }
@@ -73,7 +71,6 @@
             running: RefCell::default(),
             taking_over: Cell::new(false),
             leaving: Notify::new(),
-            item_s: Cell::new(FIRST_ITEM_S),
             accepting: RefCell::default(),
         })
     }
--- a/src/serve/peer.rs
+++ b/src/serve/peer.rs
@@ -3,7 +3,7 @@
 //! A datagram may be lost, doubled or late; nothing here depends on one. Load
 //! replaces what the same VM said before, and a lost token is never used.
 
-use prost::{Enumeration, Message, Oneof};
+use prost::{Message, Oneof};
 
 use super::crash::Crash;
 use super::jobs::Pending;
@@ -60,26 +60,14 @@
     /// Whether the store answered the sender lately.
     #[prost(bool, tag = "4")]
     pub in_touch: bool,
-    /// How much the items need that wait at the sender for a slot.
-    #[prost(enumeration = "Need", tag = "5")]
-    pub need: i32,
+    /// Whether items of jobs wait at the sender for a slot.
+    #[prost(bool, tag = "5")]
+    pub items_wait: bool,
     /// Numbers of upstreams that failed at the sender and get no requests.
     #[prost(fixed32, repeated, tag = "6")]
     pub ejected: Vec<u32>,
 }
 
-/// What waits at a VM for a slot, by what waiting costs its callers.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Enumeration)]
-#[repr(i32)]
-pub enum Need {
-    /// No item waits.
-    Nothing = 0,
-    /// Only items that will be late in any case.
-    Late = 1,
-    /// Items that can still be done in time.
-    InTime = 2,
-}
-
 /// Requests at one upstream.
 #[derive(Clone, Copy, PartialEq, Message)]
 pub struct Row {
--- a/src/serve/peers.rs
+++ b/src/serve/peers.rs
@@ -16,7 +16,7 @@
 use super::fleet::Fleet;
 use super::jobs::{Jobs, Pending};
 use super::member::{Member, owner};
-use super::peer::{Ask, Changed, Content, Crashes, Datagram, Grant, Load, Need, Opened, Row};
+use super::peer::{Ask, Changed, Content, Crashes, Datagram, Grant, Load, Opened, Row};
 use super::rate;
 use super::upstream::{self, PeerLoad};
 use crate::clock::Time;
@@ -57,7 +57,7 @@
     sequence: u64,
     rows: Vec<Row>,
     serving: bool,
-    need: Need,
+    items_wait: bool,
     ejected: Vec<u32>,
     /// Since when it has said without a break that it is out of touch.
     untouched_since: Option<Time>,
@@ -141,10 +141,10 @@
         let serving = self.serving();
         let confirmed = self.fleet.view.borrow().confirmed;
         let in_touch = !confirmed.after(OUT_OF_TOUCH).passed(self.fleet.now());
-        let need = self.fleet.need.get() as i32;
+        let items_wait = self.fleet.items_wait.get();
         let ejected = self.fleet.table.borrow().ejected(self.fleet.now());
         let sequence = self.sequence.get();
-        let load = Load { sequence, rows, serving, in_touch, need, ejected };
+        let load = Load { sequence, rows, serving, in_touch, items_wait, ejected };
         let bytes = self.datagram(Content::Load(load));
         for address in self.others() {
             self.send(&bytes, address);
@@ -221,16 +221,16 @@
         {
             return;
         }
-        let need = load.need();
         let (sequence, rows, serving) = (load.sequence, load.rows, load.serving);
         let before = heard.get(&vm).and_then(|last| last.untouched_since);
         let untouched_since = if load.in_touch { None } else { Some(before.unwrap_or(now)) };
+        let items_wait = load.items_wait;
         let said = Heard {
             incarnation,
             sequence,
             rows,
             serving,
-            need,
+            items_wait,
             ejected: load.ejected,
             untouched_since,
             at: now,
@@ -263,8 +263,8 @@
         drop(table);
         let waiting = heard
             .iter()
-            .filter(|(_, heard)| heard.need > Need::Nothing && !heard.at.after(SILENT).passed(now))
-            .map(|(vm, heard)| (vm.clone(), heard.need));
+            .filter(|(_, heard)| heard.items_wait && !heard.at.after(SILENT).passed(now))
+            .map(|(vm, _)| vm.clone());
         *self.fleet.contenders.borrow_mut() = waiting.collect();
         self.fleet.work_changed.notify_one();
         drop(heard);
--- a/src/serve/place.rs
+++ b/src/serve/place.rs
@@ -11,7 +11,6 @@
 
 use siphasher::sip::SipHasher13;
 
-use super::peer::Need;
 use super::upstream::{Entry, Key, Pace, Table};
 use crate::clock::Time;
 use crate::id::{DataCentre, Service, Upstream, Vm};
@@ -137,16 +136,6 @@
     }
 }
 
-/// VMs with which a VM whose items have a `need` takes turns; none if others
-/// whose items can still be done in time come first.
-pub fn equals(contenders: &[(Vm, Need)], need: Need) -> Option<Vec<Vm>> {
-    if contenders.iter().any(|(_, other)| *other > need) {
-        return None;
-    }
-    let same = contenders.iter().filter(|(_, other)| *other == need);
-    Some(same.map(|(vm, _)| vm.clone()).collect())
-}
-
 /// Whether it is `vm`'s turn to take room at an upstream. Turns change with
 /// each `slice` of time and go round all VMs at which items wait, so that one
 /// free slot isn't taken by all of them at once. Clocks that differ only make
