Keep memberships over an outage of the store

None came back for five seconds and more, until the whole fleet was restarted: a VM told its load to listed members only, so the others never heard the one that was left, took themselves for cut off, and didn't list themselves again. Without members there are no holders of rates (429 from reserves, 104 of one organisation), no takeovers and no peers' loads.

Others are now removed only once the store has answered for 2.5 s without a break, and VMs go on talking to those they have heard lately though they aren't listed, who count as heard.

Ruled out: the rates themselves; all 429 at seconds 10 to 13 had token=reserve, after 405 for every member (72 lines at 7.74 s). Tests that failed first: members_after_an_outage, members_removed_come_back.

--- a/src/serve/follow.rs
+++ b/src/serve/follow.rs
@@ -27,6 +27,9 @@
 /// Time without an answer after which the store counts as having been away.
 const OUTAGE: Duration = Duration::from_millis(2_000);
 
+/// Time for which the store must have answered before this VM removes others.
+const STEADY: Duration = Duration::from_millis(2_500);
+
 /// Incarnation in the entry of a VM that leaves as planned.
 const NO_INCARNATION: u64 = 0;
 
@@ -47,6 +50,8 @@
     inheritance: Inheritance,
     lost: bool,
     in_contact: bool,
+    /// Since when the store has answered without a break.
+    answered_since: Option<Time>,
 }
 
 impl Follower {
@@ -82,6 +87,7 @@
 
     fn note_lost(&self, reason: &str) {
         let mut state = self.state.borrow_mut();
+        state.answered_since = None;
         if !std::mem::replace(&mut state.lost, true) {
             let age = self.fleet.view.borrow().confirmed.until(self.fleet.now());
             emit!(self.fleet.log, Event::PlatformLost, "reason" => reason,
@@ -104,6 +110,7 @@
 
     async fn adopt(&self, snapshot: Snapshot, asked: Time) {
         let now = self.fleet.now();
+        self.state.borrow_mut().answered_since.get_or_insert(asked);
         if std::mem::replace(&mut self.state.borrow_mut().lost, false) {
             emit!(self.fleet.log, Event::PlatformBack, "took_ms" => asked.until(now).as_millis() as u64);
         }
@@ -256,6 +263,11 @@
     }
 
     async fn remove_gone(&self) -> Result<()> {
+        // Soon after an outage others still say that they were out of touch.
+        let since = self.state.borrow().answered_since;
+        if !since.is_some_and(|since| since.after(STEADY).passed(self.fleet.now())) {
+            return Ok(());
+        }
         let gone: Vec<member::Listed> = {
             let view = self.fleet.view.borrow();
             let others = view.members.iter().filter(|listed| &listed.member.vm != self.fleet.vm());
--- a/src/serve/peers.rs
+++ b/src/serve/peers.rs
@@ -13,7 +13,7 @@
 use super::channel::Relays;
 use super::configuration::Tenant;
 use super::crash;
-use super::fleet::Fleet;
+use super::fleet::{Fleet, View};
 use super::jobs::{Jobs, Pending};
 use super::member::{Member, owner};
 use super::peer::{Ask, Changed, Content, Crashes, Datagram, Grant, Load, Opened, Row};
@@ -53,6 +53,7 @@
 
 #[derive(Clone, Debug)]
 struct Heard {
+    address: SocketAddr,
     incarnation: u64,
     sequence: u64,
     rows: Vec<Row>,
@@ -169,10 +170,24 @@
             && self.fleet.in_contact()
     }
 
+    /// Addresses of all members, and of VMs that were heard lately though they
+    /// aren't listed: they may have to be listed again.
     fn others(&self) -> Vec<SocketAddr> {
         let view = self.fleet.view.borrow();
         let others = view.members.iter().filter(|listed| &listed.member.vm != self.fleet.vm());
-        others.map(|listed| listed.member.peer).collect()
+        let listed = others.map(|listed| listed.member.peer);
+        listed.chain(self.unlisted(&view)).collect()
+    }
+
+    /// Addresses of VMs that were heard lately and aren't members.
+    fn unlisted(&self, view: &View) -> Vec<SocketAddr> {
+        let now = self.fleet.now();
+        let is_listed = |vm: &Vm| {
+            view.members.iter().any(|listed| &listed.member.vm == vm) || vm == self.fleet.vm()
+        };
+        let heard = self.heard.borrow();
+        let lately = heard.iter().filter(|(_, heard)| !heard.at.after(SILENT).passed(now));
+        lately.filter(|(vm, _)| !is_listed(vm)).map(|(_, heard)| heard.address).collect()
     }
 
     fn datagram(&self, content: Content) -> Vec<u8> {
@@ -189,7 +204,7 @@
     fn handle(&self, datagram: Datagram, from: SocketAddr, jobs: &Rc<Jobs>) {
         match datagram.content {
             Some(Content::Load(load)) => {
-                self.note_load(Vm::from(datagram.vm), datagram.incarnation, load);
+                self.note_load(Vm::from(datagram.vm), datagram.incarnation, from, load);
             }
             Some(Content::Ask(ask)) => {
                 let grant = self.grant(&ask);
@@ -212,7 +227,7 @@
         }
     }
 
-    fn note_load(&self, vm: Vm, incarnation: u64, load: Load) {
+    fn note_load(&self, vm: Vm, incarnation: u64, address: SocketAddr, load: Load) {
         let now = self.fleet.now();
         let mut heard = self.heard.borrow_mut();
         if let Some(last) = heard.get(&vm)
@@ -226,6 +241,7 @@
         let untouched_since = if load.in_touch { None } else { Some(before.unwrap_or(now)) };
         let items_wait = load.items_wait;
         let said = Heard {
+            address,
             incarnation,
             sequence,
             rows,
@@ -391,12 +407,13 @@
         serving && !self.silent(vm, SILENT)
     }
 
-    /// Whether more than half of the other members were heard lately, so that
-    /// a silent one is gone rather than this VM cut off.
+    /// Whether more than half of the other VMs, members or not, were heard
+    /// lately, so that a silent one is gone rather than this VM cut off.
     pub fn hears_most(&self) -> bool {
         let view = self.fleet.view.borrow();
         let others = view.members.iter().filter(|listed| &listed.member.vm != self.fleet.vm());
-        let (mut all, mut heard) = (0, 0);
+        let unlisted = self.unlisted(&view).len();
+        let (mut all, mut heard) = (unlisted, unlisted);
         for listed in others {
             all += 1;
             heard += usize::from(!self.silent(&listed.member.vm, SILENT));
