--- a/src/log/mod.rs
+++ b/src/log/mod.rs
@@ -1,13 +1,16 @@
 //! Structured logs: terminal lines or JSON objects on standard error.
 
 pub mod budget;
+pub mod queue;
 pub mod story;
 
 use std::io::Write;
+use std::sync::Mutex;
 
 use slog::{Drain, Level, Logger, o};
 
 use self::budget::Budget;
+use self::queue::Queue;
 use crate::settings;
 
 /// Builds the root logger.
@@ -28,16 +31,15 @@
     to_writer(std::io::stdout(), settings)
 }
 
-/// Builds a root logger that writes JSON objects. A thread of its own writes;
-/// lines over the budget or that find its queue full are dropped and counted,
-/// so a reader that is stuck holds nothing up.
+/// Builds a root logger that writes JSON objects. Lines over the budget or that
+/// find the queue full are dropped and counted, so a reader that is stuck holds
+/// nothing up.
 pub fn to_writer<W>(writer: W, settings: &settings::Log) -> Logger
 where
     W: Write + Send + 'static,
 {
-    let json = slog_json::Json::default(writer).fuse();
-    let queue = slog_async::Async::new(json).chan_size(LOG_QUEUE_RECORDS).build().fuse();
-    let drain = Budget::new(queue, settings.lines_per_s);
+    let json = Mutex::new(slog_json::Json::default(Queue::start(writer))).fuse();
+    let drain = Budget::new(json, settings.lines_per_s);
     Logger::root(drain.filter_level(level(settings)).fuse(), o!())
 }
 
