Keep one slot free for bursts in large fleets

With 60 VMs requests meet at an upstream before their VMs have told each other, and there is no slot to take them.

--- a/src/serve/jobs/dispatch.rs
+++ b/src/serve/jobs/dispatch.rs
@@ -4,7 +4,8 @@
 //! items together exceed an upstream's slots, the VMs that run items there
 //! interrupt the newest ones, in the order of their names, until the rest fits.
 //! An interrupted item goes on elsewhere after the last event that it has, so
-//! it loses little, and no slot has to be kept free for a burst.
+//! it loses little. Only where many VMs choose at once a slot stays free at each
+//! upstream, for requests that meet there before their VMs know of each other.
 //!
 //! Answers steps of online load within seconds, with batch load that leaves
 //! few slots free on average, and items that wait at many VMs at once.
@@ -187,7 +188,8 @@
         let contenders = self.fleet.contenders.borrow();
         let slice = unix_ms() / TURN.as_millis() as u64;
         let turn = |upstream| place::is_turn(self.fleet.vm(), &contenders, upstream, slice);
-        let place = place::batch(&self.fleet.table.borrow(), wish, turn, now);
+        let reserve = place::reserve(self.fleet.view.borrow().members.len());
+        let place = place::batch(&self.fleet.table.borrow(), wish, reserve, turn, now);
         match place {
             BatchPlace::Here(key) => self.fleet.occupy(key, Use::Batch).ok_or(Choice::NoRoom),
             BatchPlace::NotYet => Err(Choice::NotYet),
--- a/src/serve/place.rs
+++ b/src/serve/place.rs
@@ -15,6 +15,8 @@
 use crate::clock::Time;
 use crate::id::{DataCentre, Service, Upstream, Vm};
 
+/// VMs whose requests seldom meet at one upstream before they know of each other.
+const FEW_VMS: usize = 14;
 /// Time in which a batch item makes room, in milliseconds.
 const PREEMPTION_MS: f64 = 20.0;
 /// What one running request adds to another's first event, in milliseconds.
@@ -103,9 +105,15 @@
     Nowhere,
 }
 
-/// Chooses an upstream for a batch item: one that has a free slot and at which
-/// it is this VM's turn.
-pub fn batch<T>(table: &Table, wish: Wish<'_>, turn: T, now: Time) -> BatchPlace
+/// Slots at each upstream that items leave free, by the number of VMs that
+/// choose at the same time.
+pub fn reserve(vms: usize) -> u32 {
+    u32::from(vms > FEW_VMS)
+}
+
+/// Chooses an upstream for a batch item: one that keeps `reserve` slots free
+/// and at which it is this VM's turn.
+pub fn batch<T>(table: &Table, wish: Wish<'_>, reserve: u32, turn: T, now: Time) -> BatchPlace
 where
     T: Fn(u32) -> bool,
 {
@@ -115,7 +123,7 @@
         .filter(|(_, entry)| {
             entry.usable(now)
                 && entry.suspects < SUSPECTS
-                && entry.load().total() < entry.registration.slots
+                && entry.load().total() + reserve < entry.registration.slots
         })
         .filter(|(_, entry)| {
             let ours = turn(entry.number);
--- a/tests/serve_load.rs
+++ b/tests/serve_load.rs
@@ -162,7 +162,9 @@
         let now = Time(0).after(Duration::from_millis(now_ms + 1));
         while let Some(next) = self.waiting.iter().position(|item| item.not_before_ms <= now_ms) {
             let wish = Self::wish(&service, &data_centre);
-            let BatchPlace::Here(key) = place::batch(&self.table, wish, |_| true, now) else {
+            let BatchPlace::Here(key) =
+                place::batch(&self.table, wish, place::reserve(1), |_| true, now)
+            else {
                 return;
             };
             self.table.get_mut(key).expect("listed").own.batch += 1;
--- a/tests/serve_place.rs
+++ b/tests/serve_place.rs
@@ -118,17 +118,30 @@
     assert!(Place::new().online(&table).is_some());
 }
 
+#[test]
+fn batch_keeps_reserve_in_large_fleets() {
+    assert_eq!((place::reserve(12), place::reserve(59)), (0, 1));
+    let mut table = table(&["a"]);
+    let place = Place::new();
+    table.set_peers([peer("a", 7, 0)]);
+    let chosen = place::batch(&table, place.wish(&[]), 1, |_| true, NOW);
+    assert_eq!(chosen, BatchPlace::Nowhere);
+    table.set_peers([peer("a", 6, 0)]);
+    let chosen = place::batch(&table, place.wish(&[]), 1, |_| true, NOW);
+    assert!(matches!(chosen, BatchPlace::Here(_)));
+}
+
 #[test]
 fn batch_takes_free_slots_only() {
     let mut table = table(&["a", "b"]);
     table.set_peers([peer("a", 5, 3), peer("b", 7, 0)]);
     let place = Place::new();
     let always = |_| true;
-    let chosen = place::batch(&table, place.wish(&[]), always, NOW);
+    let chosen = place::batch(&table, place.wish(&[]), 0, always, NOW);
     let BatchPlace::Here(key) = chosen else { panic!("b has room: {chosen:?}") };
     assert_eq!(table.get(key).expect("listed").registration.upstream, Upstream::from("b"));
     table.set_peers([peer("a", 5, 3), peer("b", 8, 0)]);
-    let chosen = place::batch(&table, place.wish(&[]), always, NOW);
+    let chosen = place::batch(&table, place.wish(&[]), 0, always, NOW);
     assert_eq!(chosen, BatchPlace::Nowhere);
 }
 
@@ -136,7 +149,7 @@
 fn batch_waits_for_its_turn() {
     let mut table = table(&["a"]);
     table.set_peers([peer("a", 0, 0)]);
-    let chosen = place::batch(&table, Place::new().wish(&[]), |_| false, NOW);
+    let chosen = place::batch(&table, Place::new().wish(&[]), 0, |_| false, NOW);
     assert_eq!(chosen, BatchPlace::NotYet);
 }
 
@@ -164,7 +177,7 @@
     table.set_peers([peer("a", 3, 3)]);
     let takes = |vm: &Vm| {
         let turn = |upstream| place::is_turn(vm, &vms, upstream, 1);
-        place::batch(&table, Place::new().wish(&[]), turn, NOW) != BatchPlace::NotYet
+        place::batch(&table, Place::new().wish(&[]), 0, turn, NOW) != BatchPlace::NotYet
     };
     assert_eq!(vms.iter().filter(|vm| takes(vm)).count(), 1);
 }
