--- a/standins/src/machines/caller.rs
+++ b/standins/src/machines/caller.rs
@@ -6,13 +6,15 @@
 
 use serde_json::Value;
 
+use super::Headers;
+
 /// An answer as a caller sees it.
 #[derive(Debug, Default)]
 pub struct Answer {
     /// HTTP status; zero if no answer came.
     pub status: u16,
-    /// Headers, names in lower case.
-    pub headers: Vec<(String, String)>,
+    /// Headers.
+    pub headers: Headers,
     /// Body as far as it came.
     pub body: Vec<u8>,
     /// Whether the body is complete.
@@ -22,7 +24,7 @@
 impl Answer {
     /// A header's value.
     pub fn header(&self, name: &str) -> Option<&str> {
-        self.headers.iter().find(|(one, _)| one == name).map(|(_, value)| value.as_str())
+        self.headers.get(name)
     }
 
     /// The body as text.
@@ -87,17 +89,11 @@
             return Err(io::ErrorKind::UnexpectedEof.into());
         }
         answer.status = line.split(' ').nth(1).and_then(|text| text.parse().ok()).unwrap_or(0);
-        loop {
-            line.clear();
-            self.reader.read_line(&mut line)?;
-            let Some((name, value)) = line.trim_end().split_once(':') else { break };
-            answer.headers.push((name.to_ascii_lowercase(), value.trim().to_owned()));
-        }
+        answer.headers = Headers::read(&mut self.reader)?;
         if answer.header("transfer-encoding").is_some() {
             return self.read_chunks(answer);
         }
-        let length = answer.header("content-length").and_then(|text| text.parse().ok());
-        answer.body = vec![0; length.unwrap_or(0)];
+        answer.body = vec![0; answer.headers.length()];
         self.reader.read_exact(&mut answer.body)?;
         answer.whole = true;
         Ok(())
--- a/standins/src/machines/replica.rs
+++ b/standins/src/machines/replica.rs
@@ -11,6 +11,8 @@
 
 use parking_lot::Mutex;
 
+use super::Headers;
+
 /// How one request is answered.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Manner {
@@ -39,8 +41,8 @@
 pub struct Seen {
     /// First line.
     pub line: String,
-    /// Headers, names in lower case.
-    pub headers: Vec<(String, String)>,
+    /// Headers.
+    pub headers: Headers,
     /// Body.
     pub body: Vec<u8>,
     /// Whether the replica began to run it.
@@ -50,7 +52,7 @@
 impl Seen {
     /// A header's value.
     pub fn header(&self, name: &str) -> Option<&str> {
-        self.headers.iter().find(|(one, _)| one == name).map(|(_, value)| value.as_str())
+        self.headers.get(name)
     }
 }
 
@@ -138,15 +140,8 @@
     if reader.read_line(&mut seen.line)? == 0 {
         return Ok(None);
     }
-    loop {
-        let mut line = String::new();
-        reader.read_line(&mut line)?;
-        let line = line.trim_end();
-        let Some((name, value)) = line.split_once(':') else { break };
-        seen.headers.push((name.to_ascii_lowercase(), value.trim().to_owned()));
-    }
-    let length = seen.header("content-length").and_then(|text| text.parse().ok()).unwrap_or(0);
-    seen.body = vec![0; length];
+    seen.headers = Headers::read(reader)?;
+    seen.body = vec![0; seen.headers.length()];
     reader.read_exact(&mut seen.body)?;
     Ok(Some(seen))
 }
