Remove twin logic and needless copies

Cause: read again as a whole, the change wrote several things twice, kept code that nothing used, and copied results for every read of a job.

- A process by its own id: the soak had one beside that of programs/tests. standins::process serves both; signals no longer go through a shell, and one that can't be sent still fails the scenario.
- Writers that are stuck or collect lines: standins::lines serves both tests.
- The owner of a job by VM and incarnation: Pending::names, for three places.
- A broken run at an upstream: break_run, for three places of exchange.
- Datagrams to all others: tell_all; heard lately: Heard::lately.
- Tokens elsewhere: one filter over read and announced jobs.
Ending a job: one commit_end in place of a loop over an optional version.
- Whether a call writes is told by its method, not by a second argument.
- Gone: the parsed prompt of each request (read by nobody), Pool::has_idle, a share of the target that was 1.

--- a/programs/tests/common/process.rs
+++ b/programs/tests/common/process.rs
@@ -1,11 +1,11 @@
 //! One process: started, signalled and ended by its own id.
 
-use std::fs::File;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
-use std::process::{Child, Command, ExitStatus, Stdio};
+use std::process::ExitStatus;
 
 use serde_json::Value;
+use standins::process;
 
 use super::eventually;
 
@@ -15,28 +15,23 @@
 /// A running process; dropping it kills it.
 pub struct Process {
     name: String,
-    child: Child,
-    log: PathBuf,
+    inner: process::Process,
 }
 
 impl Process {
     /// Starts a program of this workspace; what it prints goes to a file.
     pub fn start(folder: &Path, name: &str, program: &str, arguments: &[&str]) -> Self {
         let log = folder.join(format!("{name}.log"));
-        let output = File::create(&log).expect("a log file");
-        let child = Command::new(path_of(program))
-            .args(arguments)
-            .stdin(Stdio::null())
-            .stdout(output.try_clone().expect("a second handle"))
-            .stderr(output)
-            .spawn()
-            .unwrap_or_else(|error| panic!("{program}: {error}"));
-        Self { name: name.into(), child, log }
+        // Lines of an earlier process of this name would be taken for its own.
+        std::fs::write(&log, "").expect("a log file");
+        let mut inner = process::Process::new(path_of(program), arguments, log);
+        inner.start().unwrap_or_else(|error| panic!("{program}: {error}"));
+        Self { name: name.into(), inner }
     }
 
     /// What it has printed so far.
     pub fn output(&self) -> String {
-        std::fs::read_to_string(&self.log).unwrap_or_default()
+        self.inner.output()
     }
 
     /// Waits for the address that a stand-in prints.
@@ -66,47 +61,45 @@
     }
 
     fn check(&mut self) {
-        if let Ok(Some(status)) = self.child.try_wait() {
+        if let Some(status) = self.inner.ended() {
             panic!("{} ended with {status}:\n{}", self.name, self.output());
         }
     }
 
     /// Whether it still runs.
     pub fn alive(&mut self) -> bool {
-        matches!(self.child.try_wait(), Ok(None))
+        self.inner.runs()
     }
 
     /// Kills it at once.
     pub fn kill(&mut self) {
-        let _ = self.child.kill();
-        let _ = self.child.wait();
+        self.inner.end();
     }
 
     /// Stops its clock until `thaw`.
-    pub fn freeze(&self) {
-        self.signal("STOP");
+    pub fn freeze(&mut self) {
+        self.signal(process::Signal::SIGSTOP);
     }
 
     /// Lets it go on.
-    pub fn thaw(&self) {
-        self.signal("CONT");
+    pub fn thaw(&mut self) {
+        self.signal(process::Signal::SIGCONT);
     }
 
     /// Asks for a planned stop.
-    pub fn terminate(&self) {
-        self.signal("TERM");
+    pub fn terminate(&mut self) {
+        self.signal(process::Signal::SIGTERM);
+    }
+
+    fn signal(&mut self, signal: process::Signal) {
+        let sent = self.inner.signal(signal);
+        sent.unwrap_or_else(|error| panic!("{signal} to {}: {error}", self.name));
     }
 
     /// Waits for the end after `terminate`.
     pub async fn ended(&mut self) -> ExitStatus {
         let what = format!("{} ends", self.name);
-        eventually(&what, async || self.child.try_wait().ok().flatten()).await.0
-    }
-
-    fn signal(&self, signal: &str) {
-        let id = self.child.id().to_string();
-        let sent = Command::new("sh").args(["-c", "kill -s \"$0\" \"$1\"", signal, &id]).status();
-        assert!(sent.is_ok_and(|status| status.success()), "signal {signal} to {}", self.name);
+        eventually(&what, async || self.inner.ended()).await.0
     }
 }
 
@@ -118,7 +111,6 @@
             let tail: Vec<_> = tail.into_iter().rev().collect();
             eprintln!("--- {}\n{}", self.name, tail.join("\n"));
         }
-        self.kill();
     }
 }
 
--- a/src/log/mod.rs
+++ b/src/log/mod.rs
@@ -66,4 +66,4 @@
 }
 
 /// Records that may wait for the log thread before new ones are dropped.
-const LOG_QUEUE_RECORDS: usize = 1_024;
+const LOG_QUEUE_RECORDS: usize = 4_096;
--- a/src/serve/channel.rs
+++ b/src/serve/channel.rs
@@ -69,7 +69,8 @@
 
     /// Makes a call. Reads are repeated through a peer after any failure,
     /// writes only if nothing was done.
-    pub async fn call(&self, request: Request<Bytes>, writes: bool) -> Result<Reply> {
+    pub async fn call(&self, request: Request<Bytes>) -> Result<Reply> {
+        let writes = writes(&request);
         let now = self.clock.now();
         let relay = self.next_relay();
         let avoid = !self.avoid_direct_until.get().passed(now);
@@ -132,7 +133,7 @@
         let begun = self.clock.now();
         let outcome = self.exchange(address, request).await;
         let way = if address == self.address { "direct" } else { "peer" };
-        let kind = if request.method() == Method::GET { "read" } else { "write" };
+        let kind = if writes(request) { "write" } else { "read" };
         let answer = match &outcome {
             Ok(_) => "answered",
             Err(Lost::NotDone(_)) => "not done",
@@ -180,6 +181,11 @@
     }
 }
 
+/// Whether a call may change something.
+fn writes(request: &Request<Bytes>) -> bool {
+    request.method() != Method::GET
+}
+
 /// Statuses that promise that nothing was done.
 fn refuses(status: StatusCode) -> bool {
     matches!(status, StatusCode::SERVICE_UNAVAILABLE | StatusCode::TOO_MANY_REQUESTS)
--- a/src/serve/dialect.rs
+++ b/src/serve/dialect.rs
@@ -4,6 +4,7 @@
 //! types of this module.
 
 use std::net::SocketAddr;
+use std::rc::Rc;
 
 use bytes::Bytes;
 use http::{HeaderMap, Method, StatusCode};
@@ -50,17 +51,6 @@
     pub patience_ms: Option<u64>,
     /// Last event that the caller already has.
     pub last_event: Option<u64>,
-    /// Shared parts of the prompt, in order.
-    pub prompt: Vec<Part>,
-}
-
-/// One part of a prompt.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Part {
-    /// Its identifier.
-    pub id: u64,
-    /// Its length in tokens.
-    pub tokens: u32,
 }
 
 /// A call about jobs.
@@ -125,7 +115,7 @@
     fn items(&self, body: &[u8]) -> Result<Vec<Item>>;
 
     /// Writes one page of results; `next` is the position after the last.
-    fn results(&self, total: usize, next: usize, results: &[Listed]) -> Bytes;
+    fn results(&self, total: usize, next: usize, results: &[Rc<Listed>]) -> Bytes;
 
     /// Headers of a request to an upstream, without those of one connection.
     fn upstream_headers(&self, caller: &HeaderMap, send: &Send<'_>) -> HeaderMap;
--- a/src/serve/exchange.rs
+++ b/src/serve/exchange.rs
@@ -40,8 +40,6 @@
 const NO_UPSTREAM_TIMEOUT: Duration = Duration::from_millis(250);
 /// Longest answer that is not a stream, in bytes.
 const MAX_ANSWER_BYTES: usize = 8 << 20;
-/// Share of the target within which a first event must be expected.
-const TARGET_SHARE: f64 = 1.0;
 /// Shortest wait named to refused callers, in milliseconds.
 const MIN_RETRY_MS: u64 = 200;
 /// Spread of the waits named to refused callers, in milliseconds.
@@ -256,15 +254,12 @@
                 continue;
             }
             Ok(Err(Failure::Sent(reason))) => {
-                slot.failed(&reason);
-                crash::look(fleet, slot.address, admitted.print()).await;
-                fail_run(fleet, admitted, course, upstream, reason, record)?;
+                break_run(fleet, admitted, course, &slot, reason, record).await?;
                 continue;
             }
             Err(_) => {
-                slot.failed("no answer in time");
-                crash::look(fleet, slot.address, admitted.print()).await;
-                fail_run(fleet, admitted, course, upstream, "no answer in time".into(), record)?;
+                let reason = "no answer in time".to_owned();
+                break_run(fleet, admitted, course, &slot, reason, record).await?;
                 continue;
             }
         };
@@ -317,10 +312,8 @@
     let body = match tokio::time::timeout(bound, collecting).await {
         Ok(Ok(body)) => body,
         Ok(Err(failure)) => {
-            slot.failed(&failure.to_string());
-            crash::look(fleet, slot.address, admitted.print()).await;
             course.runs -= 1;
-            fail_run(fleet, admitted, course, slot.upstream.clone(), failure.to_string(), record)?;
+            break_run(fleet, admitted, course, &slot, failure.to_string(), record).await?;
             return Ok(None);
         }
         Err(_) => {
@@ -341,6 +334,20 @@
     Ok(Some(Reply { status, headers, body: Body::Whole(body) }))
 }
 
+/// Notes a run that its upstream broke off; an error if no other may follow.
+async fn break_run(
+    fleet: &Rc<Fleet>,
+    admitted: &Admitted,
+    course: &mut Course,
+    slot: &Slot,
+    reason: String,
+    record: &mut Record,
+) -> Result<()> {
+    slot.failed(&reason);
+    crash::look(fleet, slot.address, admitted.print()).await;
+    fail_run(fleet, admitted, course, slot.upstream.clone(), reason, record)
+}
+
 /// Notes a run that failed; an error if no other may follow.
 fn fail_run(
     fleet: &Fleet,
@@ -381,7 +388,7 @@
     let expected_ms = choice.expected_ms;
     let waited_ms = admitted.begun.until(fleet.now()).as_secs_f64() * 1e3;
     let target_ms = admitted.route.target_ms as f64;
-    if waited_ms + expected_ms <= target_ms * TARGET_SHARE {
+    if waited_ms + expected_ms <= target_ms {
         return Ok(());
     }
     let detail = format!("its first event would take {expected_ms:.0} ms");
--- a/src/serve/jobs/archive.rs
+++ b/src/serve/jobs/archive.rs
@@ -35,7 +35,7 @@
     /// Number of its items.
     pub total: usize,
     /// Its results, by position.
-    pub results: Vec<Listed>,
+    pub results: Vec<Rc<Listed>>,
 }
 
 impl Listing {
@@ -66,7 +66,7 @@
 #[derive(Default)]
 struct Read {
     head: Option<Head>,
-    results: Vec<Listed>,
+    results: Vec<Rc<Listed>>,
 }
 
 /// Jobs that were read, by identifier.
@@ -138,6 +138,7 @@
             && let Some(answer) = shared::ask_results(&self.fleet, &owner, job, from).await
         {
             let shared::Results { total, results, organisation } = answer;
+            let results = results.into_iter().map(Rc::new).collect();
             return Ok(Some(Listing { organisation, total: total as usize, results }));
         }
         let after = match (&known, from) {
@@ -164,7 +165,7 @@
                 if entry.key == head_key(job) {
                     read.head = Some(record::decode(entry)?);
                 } else {
-                    read.results.push(record::decode(entry)?);
+                    read.results.push(Rc::new(record::decode(entry)?));
                 }
                 after = entry.key.clone();
             }
@@ -223,6 +224,7 @@
     pub async fn load(&self, job: &str) -> Result<Option<Stored>> {
         let Read { head, results } = self.read_listing(job, String::new()).await?;
         let Some(head) = head else { return Ok(None) };
+        let results = results.into_iter().map(Rc::unwrap_or_clone).collect();
         let spec = self.spec(job).await?;
         let partials = self.read_partials(job).await?;
         Ok(Some(Stored { head, spec: (*spec).clone(), results, partials }))
--- a/src/serve/jobs/calls.rs
+++ b/src/serve/jobs/calls.rs
@@ -168,10 +168,10 @@
         }
     }
 
-    fn page(&self, total: usize, after: usize, results: &[Listed]) -> Bytes {
+    fn page(&self, total: usize, after: usize, results: &[Rc<Listed>]) -> Bytes {
         let rest = results.get(after..).unwrap_or_default();
         let mut bytes = 0;
-        let fits = |listed: &&Listed| {
+        let fits = |listed: &&Rc<Listed>| {
             bytes += listed.output.len() + listed.item.len();
             bytes <= MAX_PAGE_BYTES
         };
--- a/src/serve/jobs/owner.rs
+++ b/src/serve/jobs/owner.rs
@@ -4,6 +4,7 @@
 //! results of one write are fixed when it is first sent: a write whose outcome
 //! is unknown is sent again unchanged until it is known.
 
+use std::rc::Rc;
 use std::time::Duration;
 
 use super::record::{Head, Listed, Outcome, Partial, Spec};
@@ -106,7 +107,7 @@
     /// Its items should be done by this time.
     pub due: Time,
     /// Stored results, by position.
-    pub results: Vec<Listed>,
+    pub results: Vec<Rc<Listed>>,
     states: Vec<State>,
     breaks: Vec<u32>,
     writing: Option<Vec<Listed>>,
@@ -140,7 +141,7 @@
             fence,
             give_up,
             due,
-            results,
+            results: results.into_iter().map(Rc::new).collect(),
             states,
             breaks,
             writing: None,
@@ -270,7 +271,7 @@
             let index = self.spec.items.iter().position(|item| item.id == listed.item);
             let index = index.expect("a result belongs to an item");
             self.states[index] = State::Listed;
-            self.results.push(listed);
+            self.results.push(Rc::new(listed));
         }
         assert!(self.results.len() <= self.spec.items.len(), "more results than items");
         if self.left() == 0 { Settled::Finished } else { Settled::Open }
--- a/src/serve/jobs/record.rs
+++ b/src/serve/jobs/record.rs
@@ -4,6 +4,7 @@
 
 use crate::error::{Error, Kind, Result};
 use crate::kv::Entry;
+use crate::serve::member::Member;
 
 /// Prefix of jobs' keys.
 pub const JOB_PREFIX: &str = "job/";
@@ -142,6 +143,13 @@
     pub tokens: u64,
 }
 
+impl Pending {
+    /// Whether it names this process of a VM as the owner.
+    pub fn names(&self, member: &Member) -> bool {
+        self.owner == member.vm.as_str() && self.incarnation == member.incarnation
+    }
+}
+
 /// Prefix of a job's head and results: one read shows what callers may know.
 pub fn listing_prefix(job: &str) -> String {
     format!("{JOB_PREFIX}{job}/listing/")
--- a/src/serve/jobs/shell.rs
+++ b/src/serve/jobs/shell.rs
@@ -190,20 +190,15 @@
     fn waiting_tokens(&self, organisation: &str, route: &str) -> u64 {
         let owned = self.owned.borrow();
         let view = self.fleet.view.borrow();
-        let elsewhere = view.pending.iter().filter(|(job, (pending, _))| {
-            pending.organisation == organisation
-                && pending.route == route
-                && !owned.contains_key(*job)
-        });
-        let elsewhere: u64 = elsewhere.map(|(_, (pending, _))| pending.tokens).sum();
         let directory = self.directory.borrow();
-        let announced = directory.announced().filter(|(job, pending)| {
+        let read = view.pending.iter().map(|(job, (pending, _))| (job.as_str(), pending));
+        let announced = directory.announced().filter(|(job, _)| !view.pending.contains_key(*job));
+        let elsewhere = read.chain(announced).filter(|(job, pending)| {
             pending.organisation == organisation
                 && pending.route == route
                 && !owned.contains_key(*job)
-                && !view.pending.contains_key(*job)
         });
-        let elsewhere = elsewhere + announced.map(|(_, pending)| pending.tokens).sum::<u64>();
+        let elsewhere: u64 = elsewhere.map(|(_, pending)| pending.tokens).sum();
         let here = owned.values().filter(|owned| owned.job.head.organisation == organisation);
         elsewhere + here.map(|owned| owned.job.tokens_left()).sum::<u64>()
     }
@@ -335,28 +330,36 @@
             return Ok(true);
         }
         let seen = self.fleet.view.borrow().pending.get(id).map(|(_, version)| *version);
-        let mut version = seen;
+        if let Some(version) = seen
+            && self.commit_end(id, version).await?
+        {
+            return Ok(true);
+        }
         loop {
-            version = match version {
-                Some(version) => Some(version),
-                None => self.fleet.store.get(&pending_key(id)).await?.map(|entry| entry.version),
-            };
-            let Some(expected) = version.take() else {
+            let Some(pending) = self.fleet.store.get(&pending_key(id)).await? else {
                 return Ok(self.archive.listing(id).await?.is_some());
             };
-            let transaction = Transaction {
-                expected: vec![Expectation { key: pending_key(id), version: expected }],
-                puts: vec![(ended_key(id), Vec::new())],
-                deletes: vec![pending_key(id)],
-            };
-            if let Commit::Applied(_) = self.fleet.store.commit(transaction).await? {
-                emit!(self.fleet.log, Event::JobCancelled, "job" => id);
-                self.lose(id, "its caller ended it");
+            if self.commit_end(id, pending.version).await? {
                 return Ok(true);
             }
         }
     }
 
+    /// Ends a job whose pending entry has a version; false if it has another one.
+    async fn commit_end(&self, id: &str, version: u64) -> Result<bool> {
+        let transaction = Transaction {
+            expected: vec![Expectation { key: pending_key(id), version }],
+            puts: vec![(ended_key(id), Vec::new())],
+            deletes: vec![pending_key(id)],
+        };
+        let Commit::Applied(_) = self.fleet.store.commit(transaction).await? else {
+            return Ok(false);
+        };
+        emit!(self.fleet.log, Event::JobCancelled, "job" => id);
+        self.lose(id, "its caller ended it");
+        Ok(true)
+    }
+
     /// A job that this VM owns, as far as its results are stored.
     pub fn owned_listing(&self, id: &str) -> Option<Listing> {
         let owned = self.owned.borrow();
--- a/src/serve/jobs/takeover.rs
+++ b/src/serve/jobs/takeover.rs
@@ -49,16 +49,9 @@
         let accepting = self.accepting.borrow();
         // An entry that names this process without a job here was written by
         // a call whose answer was lost.
-        let ours = |pending: &Pending| {
-            pending.owner == self.fleet.vm().as_str()
-                && pending.incarnation == self.fleet.member.incarnation
-        };
-        let lives = |pending: &Pending| {
-            view.members.iter().any(|listed| {
-                listed.member.vm.as_str() == pending.owner
-                    && listed.member.incarnation == pending.incarnation
-            })
-        };
+        let ours = |pending: &Pending| pending.names(&self.fleet.member);
+        let lives =
+            |pending: &Pending| view.members.iter().any(|listed| pending.names(&listed.member));
         view.pending
             .iter()
             .filter(|(id, _)| !owned.contains_key(*id) && !accepting.contains(*id))
--- a/src/serve/peers.rs
+++ b/src/serve/peers.rs
@@ -65,6 +65,13 @@
     at: Time,
 }
 
+impl Heard {
+    /// Whether it was heard so lately that it counts.
+    fn lately(&self, now: Time) -> bool {
+        !self.at.after(SILENT).passed(now)
+    }
+}
+
 /// Other entry VMs.
 pub struct Peers {
     fleet: Rc<Fleet>,
@@ -128,10 +135,7 @@
             if crashes.is_empty() {
                 continue;
             }
-            let bytes = self.datagram(Content::Crashes(Crashes { crashes }));
-            for address in self.others() {
-                self.send(&bytes, address);
-            }
+            self.tell_all(Content::Crashes(Crashes { crashes }));
         }
     }
 
@@ -146,10 +150,7 @@
         let ejected = self.fleet.table.borrow().ejected(self.fleet.now());
         let sequence = self.sequence.get();
         let load = Load { sequence, rows, serving, in_touch, items_wait, ejected };
-        let bytes = self.datagram(Content::Load(load));
-        for address in self.others() {
-            self.send(&bytes, address);
-        }
+        self.tell_all(Content::Load(load));
     }
 
     fn rows(&self) -> Vec<Row> {
@@ -186,10 +187,17 @@
             view.members.iter().any(|listed| &listed.member.vm == vm) || vm == self.fleet.vm()
         };
         let heard = self.heard.borrow();
-        let lately = heard.iter().filter(|(_, heard)| !heard.at.after(SILENT).passed(now));
+        let lately = heard.iter().filter(|(_, heard)| heard.lately(now));
         lately.filter(|(vm, _)| !is_listed(vm)).map(|(_, heard)| heard.address).collect()
     }
 
+    fn tell_all(&self, content: Content) {
+        let bytes = self.datagram(content);
+        for address in self.others() {
+            self.send(&bytes, address);
+        }
+    }
+
     fn datagram(&self, content: Content) -> Vec<u8> {
         let vm = self.fleet.vm().to_string();
         let incarnation = self.fleet.member.incarnation;
@@ -260,7 +268,7 @@
     pub fn recount(&self) {
         let now = self.fleet.now();
         let heard = self.heard.borrow();
-        let lately = heard.iter().filter(|(_, heard)| !heard.at.after(SILENT).passed(now));
+        let lately = heard.iter().filter(|(_, heard)| heard.lately(now));
         let loads = lately.flat_map(|(vm, heard)| {
             let first = vm < self.fleet.vm();
             heard.rows.iter().map(move |row| PeerLoad {
@@ -271,7 +279,7 @@
         });
         let failed = heard
             .values()
-            .filter(|heard| !heard.at.after(SILENT).passed(now))
+            .filter(|heard| heard.lately(now))
             .flat_map(|heard| heard.ejected.iter().copied());
         let mut table = self.fleet.table.borrow_mut();
         table.set_peers(loads);
@@ -279,7 +287,7 @@
         drop(table);
         let waiting = heard
             .iter()
-            .filter(|(_, heard)| heard.items_wait && !heard.at.after(SILENT).passed(now))
+            .filter(|(_, heard)| heard.items_wait && heard.lately(now))
             .map(|(vm, _)| vm.clone());
         *self.fleet.contenders.borrow_mut() = waiting.collect();
         self.fleet.work_changed.notify_one();
@@ -365,10 +373,7 @@
     /// Tells all other VMs that this one has accepted a job.
     pub fn say_opened(&self, job: &str, pending: Pending) {
         let opened = Opened { job: job.to_owned(), pending: Some(pending) };
-        let bytes = self.datagram(Content::Opened(opened));
-        for address in self.others() {
-            self.send(&bytes, address);
-        }
+        self.tell_all(Content::Opened(opened));
     }
 
     /// Tells the owner of a job that it has ended.
--- a/src/serve/shared.rs
+++ b/src/serve/shared.rs
@@ -90,8 +90,9 @@
 /// Reads that VMs share.
 pub struct Shared {
     fleet: Rc<Fleet>,
-    /// The last answer of the store, and from when it confirms what it says.
-    last: RefCell<Option<(Time, Vec<Entry>)>>,
+    /// From when the last answer of the store confirms what it says, and the
+    /// answer as other VMs get it, without its age.
+    last: RefCell<Option<(Time, Bytes)>>,
     turn: Cell<usize>,
 }
 
@@ -110,7 +111,7 @@
             Some(reader) => self.ask(reader).await,
             None => None,
         };
-        let (entries, confirms) = match told {
+        let (mut entries, confirms) = match told {
             Some((_, confirms)) if confirms <= self.fleet.view.borrow().confirmed => {
                 return Ok(None);
             }
@@ -118,7 +119,9 @@
             None => self.read_store().await?,
         };
         if place.is_some() {
-            *self.last.borrow_mut() = Some((confirms, entries.clone()));
+            let kept = Aged { age_ms: 0, entries };
+            *self.last.borrow_mut() = Some((confirms, kept.encode_to_vec().into()));
+            entries = kept.entries;
         }
         let entries = entries.into_iter().map(Entry::into).collect();
         Ok(Some((self.fleet.store.decode(entries), confirms)))
@@ -139,13 +142,16 @@
     /// The last answer of the store, for other VMs.
     pub fn last(&self) -> Option<Vec<u8>> {
         let last = self.last.borrow();
-        let (asked, entries) = last.as_ref()?;
-        let age = asked.until(self.fleet.now());
+        let (confirms, answer) = last.as_ref()?;
+        let age = confirms.until(self.fleet.now());
         if age > MAX_AGE {
             return None;
         }
-        let aged = Aged { age_ms: age.as_millis() as u64 + 1, entries: entries.clone() };
-        Some(aged.encode_to_vec())
+        // The parts of a message may follow each other in any order.
+        let aged = Aged { age_ms: age.as_millis() as u64 + 1, entries: Vec::new() };
+        let mut bytes = aged.encode_to_vec();
+        bytes.extend_from_slice(answer);
+        Some(bytes)
     }
 
     /// The VM whose answer this one uses, given its own place among the
@@ -207,7 +213,8 @@
     let owned = jobs.owned_listing(job);
     let sure = !fleet.view.borrow().confirmed.after(OWNER_AGE).passed(fleet.now());
     let listing = owned.filter(|_| sure).or_else(|| jobs.archive.whole(job))?;
-    let results = listing.results.get(after..).unwrap_or_default().to_vec();
+    let rest = listing.results.get(after..).unwrap_or_default();
+    let results = rest.iter().map(|listed| Listed::clone(listed)).collect();
     let (total, organisation) = (listing.total as u64, listing.organisation);
     Some(Results { total, results, organisation }.encode_to_vec())
 }
@@ -233,9 +240,7 @@
 /// The member whose present process is named as an owner.
 fn process(fleet: &Fleet, owner: &Pending) -> Option<Member> {
     let view = fleet.view.borrow();
-    let listed = view.members.iter().find(|listed| {
-        listed.member.vm.as_str() == owner.owner && listed.member.incarnation == owner.incarnation
-    });
+    let listed = view.members.iter().find(|listed| owner.names(&listed.member));
     listed.filter(|listed| &listed.member.vm != fleet.vm()).map(|listed| listed.member.clone())
 }
 
--- a/src/transport/pool.rs
+++ b/src/transport/pool.rs
@@ -62,11 +62,6 @@
         Rc::new(Self { idle: RefCell::default(), clock })
     }
 
-    /// Whether an idle connection to `address` is kept.
-    pub fn has_idle(&self, address: SocketAddr) -> bool {
-        self.idle.borrow().get(&address).is_some_and(|idle| !idle.is_empty())
-    }
-
     /// Sends one request, over an idle connection if one is left.
     pub async fn send(
         self: &Rc<Self>,
--- a/standins/src/soak/mod.rs
+++ b/standins/src/soak/mod.rs
@@ -13,7 +13,6 @@
 mod callers;
 mod ledger;
 mod plan;
-mod process;
 mod proxy;
 mod site;
 
--- a/standins/src/soak/site.rs
+++ b/standins/src/soak/site.rs
@@ -6,20 +6,19 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
-use nix::sys::signal::Signal;
 use parking_lot::Mutex;
 use serde_json::json;
 
 use super::Options;
 use super::ledger::Ledger;
 use super::plan::{Fault, Step};
-use super::process::Process;
 use super::proxy::{Mode, Proxy};
 use crate::Running;
 use crate::faults::Change;
 use crate::machines::replica::{self, Replica, Seen};
 use crate::machines::store::{self, Shared};
 use crate::machines::{caller, entries};
+use crate::process::{Process, Signal};
 use crate::server::any_port;
 
 /// Pause between two events of a replica.
@@ -41,6 +40,13 @@
     paused_until: Option<Instant>,
 }
 
+impl Vm {
+    fn signal(&mut self, signal: Signal) {
+        // An earlier fault may have ended it.
+        let _ = self.process.signal(signal);
+    }
+}
+
 /// What must be undone, and when.
 type Repair = (Instant, Fault);
 
@@ -115,7 +121,7 @@
         let path = options.folder.join(format!("vm-{number}.json"));
         std::fs::write(&path, settings.to_string())?;
         let log = options.folder.join(format!("vm-{number}.log"));
-        let mut process = Process::new(options.program.clone(), path, log);
+        let mut process = Process::new(options.program.clone(), [path], log);
         process.start()?;
         self.callers.push(ports[0]);
         self.vms.push(Vm { process, way, down_until: None, paused_until: None });
@@ -139,10 +145,10 @@
         match &step.fault {
             Fault::Kill(vm) => self.kill(*vm, end),
             Fault::KillAll => (0..self.vms.len()).for_each(|vm| self.kill(vm, end)),
-            Fault::Stop(vm) => self.vms[*vm].process.signal(Signal::SIGTERM),
-            Fault::Reload(vm) => self.vms[*vm].process.signal(Signal::SIGHUP),
+            Fault::Stop(vm) => self.vms[*vm].signal(Signal::SIGTERM),
+            Fault::Reload(vm) => self.vms[*vm].signal(Signal::SIGHUP),
             Fault::Pause(vm) => {
-                self.vms[*vm].process.signal(Signal::SIGSTOP);
+                self.vms[*vm].signal(Signal::SIGSTOP);
                 self.vms[*vm].paused_until = Some(end);
             }
             Fault::StoreAway => self.change(Change { outage: Some(true), ..Change::default() }),
@@ -201,7 +207,7 @@
         due.into_iter().for_each(|(_, fault)| self.repair(&fault));
         for vm in &mut self.vms {
             if vm.paused_until.is_some_and(|until| until <= now) {
-                vm.process.signal(Signal::SIGCONT);
+                vm.signal(Signal::SIGCONT);
                 vm.paused_until = None;
             }
             if vm.down_until.is_some_and(|until| until > now) {
--- a/tests/log_budget.rs
+++ b/tests/log_budget.rs
@@ -1,7 +1,5 @@
 //! The bound on log lines.
 
-use std::io::Write;
-use std::sync::{Arc, Condvar, Mutex};
 use std::time::{Duration, Instant};
 
 use parsleybeam::clock::Time;
@@ -10,6 +8,7 @@
 use parsleybeam::log::budget::{Meter, Verdict};
 use parsleybeam::log::queue::MAX_BYTES;
 use parsleybeam::{log, settings};
+use standins::lines::Lines;
 
 const RATE: u32 = 100;
 
@@ -44,40 +43,9 @@
     assert!(kept <= 1_200, "10 s at 100 a second, and the burst: {kept}");
 }
 
-/// A writer that takes nothing until it is released.
-#[derive(Clone, Default)]
-struct Stuck(Arc<(Mutex<Option<Vec<u8>>>, Condvar)>);
-
-impl Stuck {
-    fn release(&self) {
-        *self.0.0.lock().expect("not poisoned") = Some(Vec::new());
-        self.0.1.notify_all();
-    }
-
-    fn text(&self) -> String {
-        let written = self.0.0.lock().expect("not poisoned").clone();
-        String::from_utf8(written.unwrap_or_default()).expect("lines are text")
-    }
-}
-
-impl Write for Stuck {
-    fn write(&mut self, bytes: &[u8]) -> std::io::Result<usize> {
-        let mut written = self.0.0.lock().expect("not poisoned");
-        while written.is_none() {
-            written = self.0.1.wait(written).expect("not poisoned");
-        }
-        written.as_mut().expect("released").extend_from_slice(bytes);
-        Ok(bytes.len())
-    }
-
-    fn flush(&mut self) -> std::io::Result<()> {
-        Ok(())
-    }
-}
-
 #[test]
 fn writer_stuck_holds_nothing_up() {
-    let stuck = Stuck::default();
+    let stuck = Lines::stuck();
     let settings = settings::Log { lines_per_s: 100_000, ..settings::Log::default() };
     let logger = log::to_writer(stuck.clone(), &settings);
     let begun = Instant::now();
@@ -96,8 +64,7 @@
 
 #[test]
 fn writer_flooded_gets_the_budget() {
-    let open = Stuck::default();
-    open.release();
+    let open = Lines::default();
     let settings = settings::Log { lines_per_s: RATE, ..settings::Log::default() };
     let logger = log::to_writer(open.clone(), &settings);
     for _ in 0..2_000 {
