Order items by whether they can end in time; leave headroom to online requests

When slots were short, items ran in the order of their due times and ended a little late one after the other (median 17.7 s, due at 18 s). Equal turns left VMs with more jobs behind.

- schedule: items that can't end in time run last and are preempted first; how long an item runs is measured per service.
- place: items leave a part of the standard deviation of the online requests free; an online request pays for the item that it would preempt; turns go by waiting items.
- logs: an attempt at an item says how long it took and how many events it made.

--- a/src/serve/context.rs
+++ b/src/serve/context.rs
@@ -15,6 +15,7 @@
 use super::crash::Crashes;
 use super::jobs::Pending;
 use super::member::{self, Member};
+use super::place::Contender;
 use super::protocol::Protocol;
 use super::rate::{Limiter, Tolerance};
 use super::store::Store;
@@ -65,8 +66,10 @@
     pub stopping: Cell<bool>,
     /// Whether batch items wait for a slot on this VM.
     pub items_waiting: Cell<bool>,
+    /// Number of these items that can still end in time.
+    pub items_in_time: Cell<u32>,
     /// Other VMs on which batch items wait for a slot.
-    pub contenders: RefCell<Vec<Vm>>,
+    pub contenders: RefCell<Vec<Contender>>,
     /// Requests suspected of having crashed upstreams.
     pub crashes: RefCell<Crashes>,
     /// Notified when this VM has observed a crash.
@@ -108,6 +111,7 @@
             limiter: RefCell::new(limiter),
             stopping: Cell::new(false),
             items_waiting: Cell::new(false),
+            items_in_time: Cell::new(0),
             contenders: RefCell::default(),
             crashes: RefCell::default(),
             crash_seen: Notify::new(),
--- a/src/serve/datagram.rs
+++ b/src/serve/datagram.rs
@@ -67,6 +67,9 @@
     /// Numbers of the upstreams that the sender has ejected after failures.
     #[prost(fixed32, repeated, tag = "6")]
     pub ejected: Vec<u32>,
+    /// Number of the waiting items that can still end in time.
+    #[prost(uint32, tag = "7")]
+    pub items_in_time: u32,
 }
 
 /// Requests running at one upstream.
--- a/src/serve/jobs/dispatch.rs
+++ b/src/serve/jobs/dispatch.rs
@@ -1,13 +1,12 @@
 //! Schedules items on upstreams and interrupts them in favour of online
 //! requests.
 //!
-//! Items use all slots that online requests leave free. When online requests
-//! and items together exceed an upstream's slots, the VMs that run items there
-//! interrupt their newest ones, in the order of the VMs' names, until the rest
-//! fits. An interrupted item resumes elsewhere after the last event that it
-//! received, so little work is lost. Only where many VMs place requests at once,
-//! one slot of each upstream stays free, for requests that arrive there before
-//! their VMs know of each other's.
+//! Items use the slots that online requests leave free, but for a few that are
+//! kept for the next arrivals (`place::headroom`). When online requests and items
+//! together exceed an upstream's slots, the VMs that run items there interrupt
+//! their least urgent ones, in the order of the VMs' names, until the rest fits.
+//! An interrupted item resumes elsewhere after the last event that it received,
+//! so little work is lost.
 //!
 //! This adapts to steps of online load within seconds while batch load leaves
 //! few slots free on average and items wait on many VMs at once.
@@ -21,13 +20,15 @@
 use super::manager::{Jobs, unix_ms};
 use super::record::{Head, Item};
 use super::run::{self, AttemptOutcome};
+use super::schedule::{self, Rank};
 use crate::clock::Time;
 use crate::emit;
 use crate::event::Event;
 use crate::id::Service;
+use crate::serve::configuration::Configuration;
 use crate::serve::context::{Slot, Use};
-use crate::serve::place::{self, BatchChoice, Criteria};
-use crate::serve::upstream::Key;
+use crate::serve::place::{self, BatchChoice, Contender, Criteria};
+use crate::serve::upstream::{Key, Timing};
 
 /// Maximum number of items that a VM starts in a row. The pause afterwards lets
 /// VMs see each other's starts.
@@ -59,6 +60,8 @@
     pub(super) job: String,
     pub(super) item: String,
     pub(super) key: Key,
+    pub(super) due: Time,
+    pub(super) ends_at: Time,
     pub(super) started: Time,
     pub(super) interrupt: Rc<Notify>,
 }
@@ -69,10 +72,18 @@
     head: Head,
     item: Item,
     next: Task,
+    due: Time,
     max_attempts: u32,
     slot: Slot,
 }
 
+/// The most urgent waiting item of a job.
+struct Candidate {
+    rank: Rank,
+    job: String,
+    index: usize,
+}
+
 /// Number of its own items that a VM must interrupt at an upstream, where VMs
 /// earlier in the order run `before` items.
 pub fn interrupt_count(total: u32, slots: u32, before: u32, own: u32) -> u32 {
@@ -107,7 +118,8 @@
         }
     }
 
-    /// Publishes to the other VMs whether items are waiting here.
+    /// Publishes to the other VMs whether items are waiting here. Their number is
+    /// published with the next load report.
     fn publish_waiting(&self, waiting: bool) {
         if self.context.items_waiting.replace(waiting) != waiting {
             self.context.load_changed.notify_one();
@@ -123,11 +135,15 @@
             Err(choice) => return choice,
         };
         let interrupt = Rc::new(Notify::new());
+        let now = self.context.now();
+        let timing = self.context.table.borrow().timing_at(start.slot.key);
         self.running.borrow_mut().push(RunningItem {
             job: start.job.clone(),
             item: start.item.id.clone(),
             key: start.slot.key,
-            started: self.context.now(),
+            due: start.due,
+            ends_at: schedule::expected_end(&start.item, &start.next.progress, timing, now),
+            started: now,
             interrupt: interrupt.clone(),
         });
         let jobs = self.clone();
@@ -135,25 +151,18 @@
         Choice::Started
     }
 
-    /// Chooses the first item that finds a slot, ordered by the due time of its
-    /// job.
+    /// Chooses the most urgent item that finds a slot.
     fn choose(&self) -> std::result::Result<PlannedItem, Choice> {
         let now = self.context.now();
         let configuration = self.context.configuration().ok_or(Choice::NoWaitingItem)?;
-        let mut owned = self.owned.borrow_mut();
-        let mut by_due: Vec<(Time, String)> =
-            owned.values().map(|owned| (owned.job.due, owned.job.id.clone())).collect();
-        by_due.sort();
         let mut choice = Choice::NoWaitingItem;
-        for (_, id) in by_due {
+        for Candidate { job: id, index, .. } in self.candidates(&configuration, now) {
+            let mut owned = self.owned.borrow_mut();
             let Some(owned) = owned.get_mut(&id) else { continue };
             let job = &mut owned.job;
             let Some(route) = configuration.route(&job.head.host, &job.head.path) else {
                 continue;
             };
-            if !job.has_ready(now) {
-                continue;
-            }
             let slot = match self.find_slot(route.target(self.context.random()), now) {
                 Ok(slot) => slot,
                 Err(reason) => {
@@ -161,14 +170,37 @@
                     continue;
                 }
             };
-            let Some(next) = job.start(now) else { continue };
+            let Some(next) = job.start(index) else { continue };
             let item = job.spec.items[next.index].clone();
-            let (head, max_attempts) = (job.head.clone(), route.max_attempts);
-            return Ok(PlannedItem { job: id, head, item, next, max_attempts, slot });
+            let (head, due, max_attempts) = (job.head.clone(), job.due, route.max_attempts);
+            return Ok(PlannedItem { job: id, head, item, next, due, max_attempts, slot });
         }
         Err(choice)
     }
 
+    /// The most urgent waiting item of each job, most urgent first. Counts those
+    /// that can still end in time for the other VMs.
+    fn candidates(&self, configuration: &Configuration, now: Time) -> Vec<Candidate> {
+        let table = self.context.table.borrow();
+        let mut in_time = 0;
+        let mut candidates = Vec::new();
+        for (id, owned) in self.owned.borrow().iter() {
+            let job = &owned.job;
+            let Some(route) = configuration.route(&job.head.host, &job.head.path) else {
+                continue;
+            };
+            let timing = route.target(0).map_or(Timing::INITIAL, |service| table.timing(service));
+            let ready = job.ready(timing, now);
+            in_time += ready.in_time;
+            if let Some((rank, index)) = ready.first {
+                candidates.push(Candidate { rank, job: id.clone(), index });
+            }
+        }
+        candidates.sort_by(|a, b| (a.rank, &a.job).cmp(&(b.rank, &b.job)));
+        self.context.items_in_time.set(in_time);
+        candidates
+    }
+
     /// Dead-letters the waiting items of jobs that have expired or whose route
     /// was removed.
     fn dead_letter_expired(self: &Rc<Self>) {
@@ -196,11 +228,14 @@
             tie_breaker: self.context.random(),
         };
         let contenders = self.context.contenders.borrow();
+        let own =
+            Contender { vm: self.context.vm().clone(), items: self.context.items_in_time.get() };
         let slice_number = unix_ms() / TIME_SLICE.as_millis() as u64;
-        let turn =
-            |upstream| place::is_turn(self.context.vm(), &contenders, upstream, slice_number);
-        let reserve = place::reserved_slots(self.context.view.borrow().members.len());
-        let place = place::batch(&self.context.table.borrow(), criteria, reserve, turn, now);
+        let turn = |upstream| place::is_turn(&own, &contenders, upstream, slice_number);
+        let table = self.context.table.borrow();
+        let headroom = place::headroom(&table, criteria.service);
+        let place = place::batch(&table, criteria, headroom, turn, now);
+        drop(table);
         match place {
             BatchChoice::Upstream(key) => {
                 self.context.take_slot(key, Use::Batch).ok_or(Choice::NoFreeSlot)
@@ -211,12 +246,22 @@
     }
 
     async fn run_item(self: Rc<Self>, start: PlannedItem, interrupt: Rc<Notify>) {
-        let PlannedItem { job, head, item, next, max_attempts, slot } = start;
-        let (upstream, index) = (slot.upstream.clone(), next.index);
+        let PlannedItem { job, head, item, next, max_attempts, slot, .. } = start;
+        let (upstream, key, index) = (slot.upstream.clone(), slot.key, next.index);
+        let (started, events_before) = (self.context.now(), next.progress.events.len());
         let outcome = run::run(&self.context, slot, &head, &item, next.progress, &interrupt).await;
         self.running.borrow_mut().retain(|running| !Rc::ptr_eq(&running.interrupt, &interrupt));
+        let took_ms = started.until(self.context.now()).as_secs_f64() * 1e3;
+        let events = outcome.events() - events_before.min(outcome.events());
         emit!(self.context.log, Event::ItemEnded, "job" => job.as_str(), "item" => item.id.as_str(),
-            "upstream" => upstream.as_str(), "outcome" => outcome.as_str());
+            "upstream" => upstream.as_str(), "outcome" => outcome.as_str(),
+            "took_ms" => took_ms as u64, "events" => events, "events_before" => events_before);
+        let mut table = self.context.table.borrow_mut();
+        table.record_item_attempt(key, events, took_ms);
+        if let AttemptOutcome::Completed(_) = outcome {
+            table.record_item_size(key, outcome.events(), item.tokens);
+        }
+        drop(table);
         metrics::counter!("serve_item_attempts_total", "outcome" => outcome.as_str()).increment(1);
         let stored = matches!(
             outcome,
@@ -244,7 +289,8 @@
             let count = interrupt_count(entry.load().total(), slots, before, entry.own.batch);
             let mut here: Vec<&RunningItem> =
                 running.iter().filter(|item| item.key == key).collect();
-            here.sort_by_key(|item| std::cmp::Reverse(item.started));
+            let order = |item: &&RunningItem| (Rank::new(item.due, item.ends_at), item.started);
+            here.sort_by_key(|item| std::cmp::Reverse(order(item)));
             for item in here.into_iter().take(count as usize) {
                 emit!(self.context.log, Event::ItemInterrupted, "job" => item.job.as_str(),
                     "item" => item.item.as_str(),
--- a/src/serve/jobs/job.rs
+++ b/src/serve/jobs/job.rs
@@ -9,7 +9,9 @@
 
 use super::record::{Head, ItemResult, Outcome, Partial, Spec};
 use super::run::{AttemptOutcome, Progress};
+use super::schedule::{Rank, expected_end};
 use crate::clock::Time;
+use crate::serve::upstream::Timing;
 
 /// Delay before an item is retried after the upstream failed it.
 const FAILURE_BACKOFF: Duration = Duration::from_millis(200);
@@ -59,6 +61,15 @@
     pub progress: Progress,
 }
 
+/// Waiting items of a job that may run now.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Ready {
+    /// Rank and index of the most urgent one.
+    pub first: Option<(Rank, usize)>,
+    /// Number of those that can still end in time.
+    pub in_time: u32,
+}
+
 /// Status of a job after a write of results.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Status {
@@ -151,22 +162,34 @@
         }
     }
 
-    /// Marks the first item that may run at `now` as running and returns it.
-    pub fn start(&mut self, now: Time) -> Option<Task> {
-        let ready = |state: &State| matches!(state, State::Waiting { not_before, .. } if not_before.passed(now));
-        let index = self.states.iter().position(ready)?;
+    /// Waiting items that may run at `now`: the most urgent one and the number of
+    /// those that can still end in time.
+    pub fn ready(&self, timing: Timing, now: Time) -> Ready {
+        let mut ready = Ready::default();
+        for (index, (item, state)) in self.spec.items.iter().zip(&self.states).enumerate() {
+            let State::Waiting { not_before, progress } = state else { continue };
+            if !not_before.passed(now) {
+                continue;
+            }
+            let rank = Rank::new(self.due, expected_end(item, progress, timing, now));
+            ready.in_time += u32::from(!rank.is_late());
+            if ready.first.is_none_or(|(first, _)| rank < first) {
+                ready.first = Some((rank, index));
+            }
+        }
+        ready
+    }
+
+    /// Marks a waiting item as running; none if it isn't waiting.
+    pub fn start(&mut self, index: usize) -> Option<Task> {
+        if !matches!(self.states.get(index), Some(State::Waiting { .. })) {
+            return None;
+        }
         let state = std::mem::replace(&mut self.states[index], State::Running);
         let State::Waiting { progress, .. } = state else { return None };
         Some(Task { index, progress })
     }
 
-    /// Whether an item may run at `now`.
-    pub fn has_ready(&self, now: Time) -> bool {
-        self.states.iter().any(
-            |state| matches!(state, State::Waiting { not_before, .. } if not_before.passed(now)),
-        )
-    }
-
     /// Number of items without a stored result.
     pub fn remaining(&self) -> usize {
         self.states.iter().filter(|state| **state != State::Stored).count()
--- a/src/serve/jobs/mod.rs
+++ b/src/serve/jobs/mod.rs
@@ -24,12 +24,14 @@
 mod manager;
 mod record;
 mod run;
+mod schedule;
 mod takeover;
 
 pub use cache::{Cache, Listing};
 pub use directory::Directory;
 pub use dispatch::interrupt_count;
-pub use job::{Job, Snapshot, State, Status, Task, Times};
+pub use job::{Job, Ready, Snapshot, State, Status, Task, Times};
 pub use manager::Jobs;
 pub use record::{Head, Header, Item, ItemResult, Outcome, PENDING_PREFIX, Partial, Pending, Spec};
 pub use run::{AttemptOutcome, Progress};
+pub use schedule::{Rank, expected_end};
--- a/src/serve/jobs/run.rs
+++ b/src/serve/jobs/run.rs
@@ -53,6 +53,18 @@
 }
 
 impl AttemptOutcome {
+    /// Number of events received by all attempts; 0 if the output is dropped.
+    pub fn events(&self) -> usize {
+        match self {
+            AttemptOutcome::Completed(output) => output.split('\n').count(),
+            AttemptOutcome::Impossible => 0,
+            AttemptOutcome::Failed(progress)
+            | AttemptOutcome::Interrupted(progress)
+            | AttemptOutcome::Broken(progress)
+            | AttemptOutcome::Held(progress) => progress.events.len(),
+        }
+    }
+
     /// Value for logs and metrics.
     pub fn as_str(&self) -> &'static str {
         match self {
--- a/src/serve/peers.rs
+++ b/src/serve/peers.rs
@@ -19,6 +19,7 @@
 };
 use super::jobs::{Jobs, Pending};
 use super::member::{Member, owner};
+use super::place::Contender;
 use super::rate;
 use super::upstream::{self, PeerLoad};
 use crate::clock::Time;
@@ -64,6 +65,7 @@
     rows: Vec<Row>,
     serving: bool,
     items_waiting: bool,
+    items_in_time: u32,
     ejected: Vec<u32>,
     /// Time since which all its reports have said that the store is unreachable.
     store_unreachable_since: Option<Time>,
@@ -156,7 +158,16 @@
         let items_waiting = self.context.items_waiting.get();
         let ejected = self.context.table.borrow().ejected(self.context.now());
         let sequence = self.sequence.get();
-        let load = Load { sequence, rows, serving, store_reachable, items_waiting, ejected };
+        let items_in_time = self.context.items_in_time.get();
+        let load = Load {
+            sequence,
+            rows,
+            serving,
+            store_reachable,
+            items_waiting,
+            ejected,
+            items_in_time,
+        };
         self.broadcast(Content::Load(load));
     }
 
@@ -265,6 +276,7 @@
             rows,
             serving,
             items_waiting,
+            items_in_time: load.items_in_time,
             ejected: load.ejected,
             store_unreachable_since,
             heard_at: now,
@@ -298,7 +310,7 @@
         let waiting = states
             .iter()
             .filter(|(_, state)| state.items_waiting && state.is_recent(now))
-            .map(|(vm, _)| vm.clone());
+            .map(|(vm, state)| Contender { vm: vm.clone(), items: state.items_in_time });
         *self.context.contenders.borrow_mut() = waiting.collect();
         self.context.work_changed.notify_one();
         drop(states);
--- a/src/serve/place.rs
+++ b/src/serve/place.rs
@@ -14,11 +14,11 @@
 use crate::clock::Time;
 use crate::id::{DataCentre, Service, Upstream, Vm};
 
-/// Number of VMs up to which two of them seldom choose the same slot before they
-/// have received each other's load.
-const MAX_VMS_WITHOUT_RESERVE: usize = 14;
 /// Time to preempt a batch item, in milliseconds.
 const PREEMPTION_MS: f64 = 20.0;
+/// Cost of a preemption to the item, which reads its prompt again over a new
+/// connection, in milliseconds.
+const PREEMPTED_ITEM_COST_MS: f64 = 50.0;
 /// Delay that each running request adds to another's first event, in milliseconds.
 const SHARING_MS: f64 = 1.0;
 /// Cost of an upstream in another data centre, in milliseconds.
@@ -30,6 +30,10 @@
 /// Cost of such an upstream, in milliseconds: it is used only when the others are full.
 const PEER_FAILURE_PENALTY_MS: f64 = 250.0;
 
+/// Free slots that batch items leave, in standard deviations of the number of
+/// running online requests.
+const HEADROOM_DEVIATIONS: f64 = 0.6;
+
 /// Criteria of a selection.
 #[derive(Clone, Copy, Debug)]
 pub struct Criteria<'a> {
@@ -72,13 +76,16 @@
             } else {
                 DISTANCE_MS
             };
+            let item_cost_ms =
+                if free && entry.free_slots() == 0 { PREEMPTED_ITEM_COST_MS } else { 0.0 };
             let history_ms = entry.first_event_ms * HISTORY_WEIGHT;
             let penalty_ms = if entry.peer_failures >= MIN_PEER_FAILURES {
                 PEER_FAILURE_PENALTY_MS
             } else {
                 0.0
             };
-            let cost_ms = expected_ms + tie_break_ms + distance_ms + history_ms + penalty_ms;
+            let cost_ms =
+                expected_ms + tie_break_ms + distance_ms + item_cost_ms + history_ms + penalty_ms;
             (Choice { key, expected_ms, free }, cost_ms)
         })
         .min_by(|(_, a), (_, b)| a.total_cmp(b))
@@ -112,31 +119,42 @@
     Full,
 }
 
-/// Number of slots that batch items leave free at each upstream, given the
-/// number of VMs that choose concurrently.
-pub fn reserved_slots(vms: usize) -> u32 {
-    u32::from(vms > MAX_VMS_WITHOUT_RESERVE)
+/// Number of free slots of a service that batch items leave to online requests.
+///
+/// Online requests come and go at random, so that their number varies by about
+/// its square root. With a part of that free an arriving request seldom has to
+/// preempt an item. Without online requests items take every slot.
+pub fn headroom(table: &Table, service: &Service) -> u32 {
+    let online: u32 = table.of_service(service).map(|(_, entry)| entry.load().online).sum();
+    (HEADROOM_DEVIATIONS * f64::from(online).sqrt()) as u32
+}
+
+/// Number of free slots at the usable upstreams of a service.
+fn free_slots(table: &Table, service: &Service, now: Time) -> u32 {
+    let usable = table.of_service(service).filter(|(_, entry)| entry.usable(now));
+    usable.map(|(_, entry)| entry.free_slots()).sum()
 }
 
-/// Selects an upstream for a batch item: one that keeps `reserve` slots free
-/// and at which it is this VM's turn.
+/// Selects an upstream for a batch item: one with a free slot at which it is this
+/// VM's turn. `headroom` slots of the service stay free.
 pub fn batch<T>(
     table: &Table,
     criteria: Criteria<'_>,
-    reserve: u32,
+    headroom: u32,
     turn: T,
     now: Time,
 ) -> BatchChoice
 where
     T: Fn(u32) -> bool,
 {
+    if free_slots(table, criteria.service, now) <= headroom {
+        return BatchChoice::Full;
+    }
     let mut others_turn = false;
     let chosen = table
         .of_service(criteria.service)
         .filter(|(_, entry)| {
-            entry.usable(now)
-                && entry.peer_failures < MIN_PEER_FAILURES
-                && entry.load().total() + reserve < entry.registration.slots
+            entry.usable(now) && entry.peer_failures < MIN_PEER_FAILURES && entry.free_slots() > 0
         })
         .filter(|(_, entry)| {
             let own_turn = turn(entry.number);
@@ -162,18 +180,31 @@
     }
 }
 
-/// Whether it is `vm`'s turn to take slots at an upstream. Turns change with
-/// each time `slice` and rotate over all VMs with waiting items, so that they
-/// don't all take the same free slot. Clock skew only gives two VMs the turn at
-/// once; the excess items are then interrupted.
-pub fn is_turn(vm: &Vm, contenders: &[Vm], upstream: u32, slice: u64) -> bool {
-    let rank = |vm: &Vm| {
+/// A VM with waiting items.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Contender {
+    /// Name of the VM.
+    pub vm: Vm,
+    /// Number of its waiting items that can still end in time, at least 1.
+    pub items: u32,
+}
+
+/// Whether it is `own`'s turn to take slots at an upstream. Turns change with
+/// each time `slice` and rotate over all VMs with waiting items, in proportion
+/// to their numbers, so that VMs don't all take the same free slot and none is
+/// left with a longer queue than the others. Clock skew only gives two VMs the
+/// turn at once; the excess items are then interrupted.
+pub fn is_turn(own: &Contender, contenders: &[Contender], upstream: u32, slice: u64) -> bool {
+    // The lowest of exponentially distributed values is a contender's with a
+    // probability proportional to its rate.
+    let draw = |contender: &Contender| {
         let mut hasher = SipHasher13::new();
-        hasher.write(vm.as_str().as_bytes());
+        hasher.write(contender.vm.as_str().as_bytes());
         hasher.write_u32(upstream);
         hasher.write_u64(slice);
-        hasher.finish()
+        let uniform = (hasher.finish() as f64 + 1.0) / (u64::MAX as f64 + 2.0);
+        -uniform.ln() / f64::from(contender.items.max(1))
     };
-    let own = rank(vm);
-    contenders.iter().all(|other| other == vm || rank(other) < own)
+    let own_draw = draw(own);
+    contenders.iter().all(|other| other.vm == own.vm || own_draw < draw(other))
 }
--- a/src/serve/upstream.rs
+++ b/src/serve/upstream.rs
@@ -26,8 +26,8 @@
 const SAMPLE_WEIGHT: f64 = 0.2;
 /// Weight of the newest sample in a service's moving averages.
 const TIMING_WEIGHT: f64 = 0.05;
-/// Timing of a service before the first measurement.
-const INITIAL_TIMING: Timing = Timing { first_event_ms: 50.0, slot_ms: 720.0 };
+/// Minimum number of events of an attempt from which `Timing::event_ms` is measured.
+const MIN_MEASURED_EVENTS: usize = 10;
 
 /// Moving averages of a service's timing, as measured by this VM.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -36,6 +36,18 @@
     pub first_event_ms: f64,
     /// Time for which an online request holds its slot, in milliseconds.
     pub slot_ms: f64,
+    /// Time between two events of a batch item, in milliseconds; 0 before the first
+    /// measurement.
+    pub event_ms: f64,
+    /// Tokens of a batch item per event, prompt included; infinite before the first
+    /// measurement.
+    pub event_tokens: f64,
+}
+
+impl Timing {
+    /// Timing of a service before the first measurement.
+    pub const INITIAL: Self =
+        Self { first_event_ms: 50.0, slot_ms: 720.0, event_ms: 0.0, event_tokens: f64::INFINITY };
 }
 
 /// Number of requests running at an upstream.
@@ -113,6 +125,11 @@
         }
     }
 
+    /// Number of slots that no request of any VM holds.
+    pub fn free_slots(&self) -> u32 {
+        self.registration.slots.saturating_sub(self.load().total())
+    }
+
     /// Whether requests may be sent at `now`.
     pub fn usable(&self, now: Time) -> bool {
         !self.registration.draining && self.ejected_until.passed(now)
@@ -281,7 +298,14 @@
 
     /// Timing of a service's upstreams.
     pub fn timing(&self, service: &Service) -> Timing {
-        self.timings.get(service).copied().unwrap_or(INITIAL_TIMING)
+        self.timings.get(service).copied().unwrap_or(Timing::INITIAL)
+    }
+
+    /// Timing of the service that an upstream belongs to.
+    pub fn timing_at(&self, key: Key) -> Timing {
+        self.entries
+            .get(key)
+            .map_or(Timing::INITIAL, |entry| self.timing(&entry.registration.service))
     }
 
     /// Records a first event that came this many milliseconds after its request
@@ -299,8 +323,35 @@
         }
     }
 
+    /// Records that an attempt at a batch item received `events` events in
+    /// `took_ms` milliseconds.
+    pub fn record_item_attempt(&mut self, key: Key, events: usize, took_ms: f64) {
+        if events < MIN_MEASURED_EVENTS {
+            return;
+        }
+        let sample_ms = took_ms / events as f64;
+        let Some(timing) = self.timing_mut(key) else { return };
+        if timing.event_ms == 0.0 {
+            timing.event_ms = sample_ms;
+        }
+        timing.event_ms += (sample_ms - timing.event_ms) * TIMING_WEIGHT;
+    }
+
+    /// Records the number of events of a complete batch item of `tokens` tokens.
+    pub fn record_item_size(&mut self, key: Key, events: usize, tokens: u64) {
+        if events == 0 {
+            return;
+        }
+        let sample = tokens as f64 / events as f64;
+        let Some(timing) = self.timing_mut(key) else { return };
+        if timing.event_tokens.is_infinite() {
+            timing.event_tokens = sample;
+        }
+        timing.event_tokens += (sample - timing.event_tokens) * TIMING_WEIGHT;
+    }
+
     fn timing_mut(&mut self, key: Key) -> Option<&mut Timing> {
         let service = self.entries.get(key)?.registration.service.clone();
-        Some(self.timings.entry(service).or_insert(INITIAL_TIMING))
+        Some(self.timings.entry(service).or_insert(Timing::INITIAL))
     }
 }
--- a/standins/src/server.rs
+++ b/standins/src/server.rs
@@ -111,6 +111,11 @@
         format!("http://{}", self.address)
     }
 
+    /// Returns the number of calls since the start, failed ones included.
+    pub fn calls(&self) -> u64 {
+        self.counters.all().values().sum()
+    }
+
     /// Changes the faults that it injects.
     pub fn set_faults(&self, change: Change) {
         self.faults.apply(&change);
