Keep room in the log queue for the report of dropped lines

A new test that fills the queue exactly failed first with a write of 524,381 bytes of at most 524,288.

Lines are now dropped 256 bytes earlier.

--- a/src/log/queue.rs
+++ b/src/log/queue.rs
@@ -11,8 +11,10 @@
 
 use crate::event::Event;
 
-/// Capacity of the queue, in bytes.
+/// Capacity of the queue and maximum size of a write, in bytes.
 pub const MAX_BYTES: usize = 512 << 10;
+/// Part of it that is kept for the report of dropped lines, in bytes.
+const REPORT_BYTES: usize = 256;
 /// Time for which lines are batched before a write.
 const BATCH_INTERVAL: Duration = Duration::from_millis(20);
 
@@ -83,7 +85,7 @@
 
     fn push(&mut self) {
         let mut state = self.shared.lock();
-        if state.lines.len() + self.line.len() > MAX_BYTES {
+        if state.lines.len() + self.line.len() > MAX_BYTES - REPORT_BYTES {
             state.dropped += 1;
             drop(state);
             self.line.clear();
--- a/tests/log_budget.rs
+++ b/tests/log_budget.rs
@@ -1,11 +1,13 @@
 //! Rate limit and queue of the log.
 
+use std::io::{self, Write};
+use std::sync::mpsc::{self, Receiver, Sender};
 use std::time::{Duration, Instant};
 
 use parsleybeam::clock::Time;
 use parsleybeam::emit;
 use parsleybeam::event::Event;
-use parsleybeam::log::queue::MAX_BYTES;
+use parsleybeam::log::queue::{MAX_BYTES, Queue};
 use parsleybeam::log::rate_limit::{TokenBucket, Verdict};
 use parsleybeam::{log, settings};
 use standins::log::Buffer;
@@ -92,3 +94,40 @@
     assert!(text.lines().count() < 300, "lines: {}", text.lines().count());
     assert!(text.contains("failed"), "the line of a failure must be kept");
 }
+
+/// Writer that reports the size of each write and blocks until it is released.
+struct Sizes {
+    sizes: Sender<usize>,
+    released: Receiver<()>,
+}
+
+impl Write for Sizes {
+    fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
+        // The sender is dropped to release all writes.
+        let _ = self.released.recv();
+        let _ = self.sizes.send(bytes.len());
+        Ok(bytes.len())
+    }
+
+    fn flush(&mut self) -> io::Result<()> {
+        Ok(())
+    }
+}
+
+/// Lines that fill the queue to the last byte leave no room for the report of those that
+/// are dropped after them.
+#[test]
+fn writer_stuck_full_queue_and_report_fit() {
+    let (sizes, written) = mpsc::channel();
+    let (release, released) = mpsc::channel();
+    let mut queue = Queue::start(Sizes { sizes, released });
+    let mut line = [b'x'; 64];
+    line[63] = b'\n';
+    for _ in 0..3 * MAX_BYTES / line.len() {
+        queue.write_all(&line).expect("the queue takes every line");
+    }
+    drop(release);
+    drop(queue);
+    let sizes: Vec<usize> = written.iter().collect();
+    assert!(sizes.iter().all(|size| *size <= MAX_BYTES), "{sizes:?}");
+}
