--- a/src/serve/rate.rs
+++ b/src/serve/rate.rs
@@ -166,15 +166,15 @@
     ) {
         let local_expired = self.confirmed_at.after(LOCAL_SHARE_MAX_AGE).passed(now);
         let holder_expired = self.holder_until().passed(now);
-        let silence_noticed = self.holder_until().after(MIN_REMOVAL).passed(now);
+        let removal_possible = self.holder_until().after(MIN_REMOVAL).passed(now);
         let list: Vec<(Vm, u64)> =
             members.iter().map(|listed| (listed.member.vm.clone(), listed.version)).collect();
         let own = |list: &[(Vm, u64)]| list.iter().find(|(vm, _)| vm == &self.vm).cloned();
         let first = self.list.is_empty();
         let local_kept = !first && (!local_expired || own(&list) == own(&self.list));
-        // A VM that joined and held buckets meanwhile would have waited as long as this VM
-        // could grant, and couldn't have been removed since.
-        let was_listed = own(&list) == own(&self.list) && !silence_noticed;
+        // A VM that joined meanwhile granted nothing before this VM had to stop, and its
+        // entry can't have been removed since.
+        let was_listed = own(&list) == own(&self.list) && !removal_possible;
         let holder_kept = !first && (!holder_expired || was_listed || list == self.list);
         let takes_over = first && predecessor == Predecessor::Crashed;
         if !local_kept {
--- a/tests/fleet_load/mod.rs
+++ b/tests/fleet_load/mod.rs
@@ -97,8 +97,10 @@
 
 impl Item {
     fn rank(&self, design: Design, now_ms: u64) -> Rank {
-        let run_ms = if design == Design::Current { self.remaining_ms } else { 0 };
-        let ends_at = if design == Design::Current { time(now_ms + run_ms) } else { Time(0) };
+        let ends_at = match design {
+            Design::Current => time(now_ms + self.remaining_ms),
+            Design::Due | Design::Reserve | Design::Headroom => Time(0),
+        };
         Rank::new(time(self.due_ms), ends_at)
     }
 }
