--- a/src/serve/poller.rs
+++ b/src/serve/poller.rs
@@ -23,10 +23,8 @@
 
 /// First pause after a failed read.
 const RETRY: Duration = Duration::from_millis(100);
-/// Maximum pause after failed reads in a row of a VM that reads the store itself.
+/// Maximum pause after failed reads in a row.
 const MAX_RETRY: Duration = Duration::from_millis(500);
-/// The same of a VM that asks a reader VM.
-const MAX_READER_RETRY: Duration = Duration::from_millis(200);
 /// Time without a successful read after which the next one counts as the end of an outage.
 const OUTAGE: Duration = Duration::from_millis(2_000);
 
@@ -85,9 +83,7 @@
                 Err(error) => {
                     self.record_failed_read(&error.detail);
                     tokio::time::sleep(pause).await;
-                    let has_reader = self.reader.has_reader();
-                    let longest = if has_reader { MAX_READER_RETRY } else { MAX_RETRY };
-                    pause = (pause * 2).min(longest);
+                    pause = (pause * 2).min(MAX_RETRY);
                 }
             }
             self.log_contact();
--- a/src/serve/reader.rs
+++ b/src/serve/reader.rs
@@ -5,12 +5,7 @@
 //! and serves as fallback. Each snapshot carries its age, measured by the VM
 //! that serves it; the fetching VM subtracts it from the time at which it sent
 //! its request, so the age is never understated, even when either VM was
-//! suspended in between.
-//!
-//! A VM whose reader is silent reads the store itself. A reader that answers but
-//! has no fresh snapshot can't reach the store: in an outage of the store the
-//! other VMs keep asking the readers, and only seldom the store, so that the
-//! number of calls doesn't grow with the fleet.
+//! suspended in between. Without a fresh snapshot a VM reads the store itself.
 //!
 //! Results of a job are fetched from its owner. The owner serves an open job
 //! only while its own view is fresh, so a job that was taken over is read from
@@ -30,7 +25,7 @@
 use super::member::{self, Member};
 use super::store::Snapshot;
 use crate::clock::Time;
-use crate::error::{Error, Kind, Result};
+use crate::error::Result;
 
 /// Maximum number of members with which every VM reads the store itself.
 const MAX_MEMBERS_ALL_READ: usize = 14;
@@ -40,13 +35,6 @@
 const READER_POLL: Duration = Duration::from_millis(600);
 /// Maximum age of a snapshot that is served to peers.
 const MAX_SNAPSHOT_AGE: Duration = Duration::from_millis(900);
-/// Age of this VM's view from which it reads the store itself although a reader answers
-/// that it has no fresh snapshot.
-const OWN_READ_AGE: Duration = Duration::from_millis(2_000);
-/// Minimum time between two such reads.
-const OWN_READ_INTERVAL: Duration = Duration::from_millis(2_500);
-/// Random spread added to it, in milliseconds.
-const OWN_READ_SPREAD_MS: u64 = 1_000;
 /// Maximum age of the view with which an owner serves its open jobs.
 const MAX_OWNER_VIEW_AGE: Duration = Duration::from_millis(1_500);
 /// Timeout of a request to another VM.
@@ -106,35 +94,12 @@
     /// served to peers, without the age.
     last: RefCell<Option<(Time, Bytes)>>,
     next_reader: Cell<usize>,
-    /// Time of the next own read while readers have no fresh snapshot.
-    next_own_read: Cell<Time>,
-}
-
-/// Result of a request for a reader's last snapshot.
-enum Fetched {
-    /// The entries and the time at which they were current.
-    Snapshot(Vec<Entry>, Time),
-    /// The reader has no fresh snapshot.
-    NotFresh,
-    /// The reader didn't answer in time.
-    Silent,
-}
-
-/// Whether a VM reads the store itself at `now` although its reader answers that it
-/// has no fresh snapshot. `confirmed_at` is the time of the VM's own view.
-pub fn is_own_read_due(confirmed_at: Time, next_own_read: Time, now: Time) -> bool {
-    confirmed_at.after(OWN_READ_AGE).passed(now) && next_own_read.passed(now)
 }
 
 impl Reader {
     /// Creates a reader that has read nothing yet.
     pub fn new(context: Rc<Context>) -> Rc<Self> {
-        Rc::new(Self {
-            context,
-            last: RefCell::default(),
-            next_reader: Cell::new(0),
-            next_own_read: Cell::new(Time(0)),
-        })
+        Rc::new(Self { context, last: RefCell::default(), next_reader: Cell::new(0) })
     }
 
     /// Reads all shared entries. The time is that at which the snapshot was current;
@@ -144,17 +109,14 @@
         let position = readers.iter().position(|member| &member.vm == self.context.vm());
         let fetched = match self.source(&readers, position) {
             Some(reader) => self.fetch_snapshot(reader).await,
-            None => Fetched::Silent,
+            None => None,
         };
-        let confirmed_at = self.context.view.borrow().confirmed_at;
         let (mut entries, current_at) = match fetched {
-            Fetched::Snapshot(_, current_at) if current_at <= confirmed_at => return Ok(None),
-            Fetched::Snapshot(entries, current_at) => (entries, current_at),
-            Fetched::NotFresh => {
-                self.schedule_own_read(confirmed_at)?;
-                self.read_store().await?
+            Some((_, current_at)) if current_at <= self.context.view.borrow().confirmed_at => {
+                return Ok(None);
             }
-            Fetched::Silent => self.read_store().await?,
+            Some(fetched) => fetched,
+            None => self.read_store().await?,
         };
         if position.is_some() {
             let cached = CachedSnapshot { age_ms: 0, entries };
@@ -165,30 +127,12 @@
         Ok(Some((self.context.store.decode(entries), current_at)))
     }
 
-    /// Sets the time of the next own read; an error if this one isn't due.
-    fn schedule_own_read(&self, confirmed_at: Time) -> Result<()> {
-        let now = self.context.now();
-        if !is_own_read_due(confirmed_at, self.next_own_read.get(), now) {
-            let detail = "the readers of this data centre have no fresh snapshot";
-            return Err(Error::new(Kind::PlatformUnavailable, detail));
-        }
-        let spread = Duration::from_millis(self.context.random() % OWN_READ_SPREAD_MS);
-        self.next_own_read.set(now.after(OWN_READ_INTERVAL + spread));
-        Ok(())
-    }
-
     async fn read_store(&self) -> Result<(Vec<Entry>, Time)> {
         let sent_at = self.context.now();
         let entries = self.context.store.entries().await?;
         Ok((entries.into_iter().map(Entry::from).collect(), sent_at))
     }
 
-    /// Whether this VM fetches snapshots from a reader VM.
-    pub fn has_reader(&self) -> bool {
-        let readers = self.readers();
-        !readers.is_empty() && readers.iter().all(|member| &member.vm != self.context.vm())
-    }
-
     /// Pause between two reads; `poll` is the pause of a VM that is not a reader.
     pub fn pause(&self, poll: Duration) -> Duration {
         let reads = self.readers().iter().any(|member| &member.vm == self.context.vm());
@@ -237,26 +181,17 @@
         local.into_iter().take(READERS).cloned().collect()
     }
 
-    /// Fetches a reader's last snapshot.
-    async fn fetch_snapshot(&self, reader: &Member) -> Fetched {
+    /// Fetches a reader's last snapshot and the time at which it was current.
+    async fn fetch_snapshot(&self, reader: &Member) -> Option<(Vec<Entry>, Time)> {
         let sent_at = self.context.now();
-        let fetched = match get(&self.context, reader, SNAPSHOT_PATH).await {
-            None => Fetched::Silent,
-            Some((StatusCode::OK, body)) => match CachedSnapshot::decode(body) {
-                Ok(CachedSnapshot { age_ms, entries }) => {
-                    let age = Duration::from_millis(age_ms);
-                    let current_at = Time(sent_at.0.saturating_sub(age.as_micros() as u64));
-                    Fetched::Snapshot(entries, current_at)
-                }
-                // A damaged snapshot is as good as none.
-                Err(_) => Fetched::Silent,
-            },
-            Some(_) => Fetched::NotFresh,
-        };
-        if !matches!(fetched, Fetched::Snapshot(..)) {
+        let body = get(&self.context, reader, SNAPSHOT_PATH).await;
+        let snapshot = body.and_then(|body| CachedSnapshot::decode(body).ok());
+        if snapshot.is_none() {
             self.next_reader.set(self.next_reader.get().wrapping_add(1));
         }
-        fetched
+        let CachedSnapshot { age_ms, entries } = snapshot?;
+        let age = Duration::from_millis(age_ms);
+        Some((entries, Time(sent_at.0.saturating_sub(age.as_micros() as u64))))
     }
 }
 
@@ -293,7 +228,7 @@
     after: usize,
 ) -> Option<Results> {
     let owner = owner_member(context, owner)?;
-    let body = get_found(context, &owner, &format!("{RESULTS_PATH}{job}/{after}")).await?;
+    let body = get(context, &owner, &format!("{RESULTS_PATH}{job}/{after}")).await?;
     Results::decode(body).ok()
 }
 
@@ -305,7 +240,7 @@
     item: &str,
 ) -> Option<Bytes> {
     let owner = owner_member(context, owner)?;
-    get_found(context, &owner, &format!("{BODY_PATH}{job}/{item}")).await
+    get(context, &owner, &format!("{BODY_PATH}{job}/{item}")).await
 }
 
 /// The other VM whose current process is named as the owner.
@@ -316,13 +251,7 @@
 }
 
 /// Sends a GET request to another VM; none unless it responds with 200 in time.
-async fn get_found(context: &Context, member: &Member, path: &str) -> Option<Bytes> {
-    let (status, body) = get(context, member, path).await?;
-    (status == StatusCode::OK).then_some(body)
-}
-
-/// Sends a GET request to another VM; none unless it responds in time.
-async fn get(context: &Context, member: &Member, path: &str) -> Option<(StatusCode, Bytes)> {
+async fn get(context: &Context, member: &Member, path: &str) -> Option<Bytes> {
     let request = Request::get(path)
         .header("host", member.relay.to_string())
         .body(Full::new(Bytes::new()))
@@ -330,7 +259,7 @@
     let call = async {
         let mut answer = context.pool.send(member.relay, request, CALL_TIMEOUT).await.ok()?;
         let body = answer.body.collect(MAX_RESPONSE_BYTES).await.ok()?;
-        Some((answer.status, body))
+        (answer.status == StatusCode::OK).then_some(body)
     };
     tokio::time::timeout(CALL_TIMEOUT, call).await.ok().flatten()
 }
