--- a/src/id.rs
+++ b/src/id.rs
@@ -9,6 +9,8 @@
     pub struct DataCentre;
     /// An upstream, which is one replica of a model engine or of a plain service.
     pub struct Upstream;
+    /// A version of an upstream's software.
+    pub struct Version;
     /// A model served by engines.
     pub struct Model;
     /// A plain service that isn't a model engine.
--- a/src/serve/context.rs
+++ b/src/serve/context.rs
@@ -23,7 +23,7 @@
 use crate::clock::{Clock, Time};
 use crate::emit;
 use crate::event::Event;
-use crate::id::{Upstream, Vm};
+use crate::id::{Upstream, Version, Vm};
 use crate::settings;
 use crate::transport::Pool;
 
@@ -171,6 +171,7 @@
             free: entry.load().total() <= entry.registration.slots,
             answered: Cell::new(false),
             upstream: entry.registration.upstream.clone(),
+            version: entry.registration.version.clone(),
             address: entry.registration.address,
             context: self.clone(),
         };
@@ -195,6 +196,8 @@
     pub key: Key,
     /// Name of the upstream.
     pub upstream: Upstream,
+    /// Version of the upstream's software when the slot was taken.
+    pub version: Version,
     /// Address of the upstream.
     pub address: SocketAddr,
     kind: Use,
--- a/src/serve/exchange.rs
+++ b/src/serve/exchange.rs
@@ -179,6 +179,9 @@
         Error::new(Kind::UnknownRoute, format!("no route of {} matches", head.host))
     })?;
     record.route = route.name.clone();
+    if let Some(resumes) = &head.resumes {
+        record.record_resumes(resumes);
+    }
     let tenant = authenticate(context, &configuration, &head, route.anonymous)?;
     if route.kind == RouteKind::Batch {
         return Err(Error::new(Kind::Malformed, "a batch route takes jobs only"));
@@ -247,7 +250,7 @@
             check_latency(context, admitted, &choice)?;
         }
         let Some(slot) = context.take_slot(choice.key, Use::Online) else { continue };
-        record.attempts.push(slot.upstream.to_string());
+        record.record_attempt(&slot);
         record.expected_ms = choice.expected_ms;
         let (upstream, request) =
             (slot.upstream.clone(), request(context, admitted, &slot, resume));
--- a/src/serve/protocol.rs
+++ b/src/serve/protocol.rs
@@ -51,6 +51,8 @@
     pub caller_timeout_ms: Option<u64>,
     /// Identifier of the last event that the caller has received.
     pub last_event: Option<u64>,
+    /// Identifier of the caller's attempt that received the first event of the stream.
+    pub resumes: Option<String>,
 }
 
 /// A request about a job.
--- a/src/serve/record.rs
+++ b/src/serve/record.rs
@@ -2,7 +2,7 @@
 
 use std::rc::Rc;
 
-use super::context::Context;
+use super::context::{Context, Slot};
 use crate::clock::Time;
 use crate::emit;
 use crate::event::Event;
@@ -28,6 +28,10 @@
     pub token: &'static str,
     /// Names of the upstreams that the request was sent to, in order.
     pub attempts: Vec<String>,
+    /// Software versions of these upstreams.
+    pub versions: Vec<String>,
+    /// Identifier of the caller's attempt whose stream it resumes; empty if none.
+    pub resumes: String,
     /// Expected time to the first event at the last of them when it was chosen, in milliseconds.
     pub expected_ms: f64,
     /// Measured time to the first event, in milliseconds.
@@ -51,6 +55,8 @@
             organisation: String::new(),
             token: "",
             attempts: Vec::new(),
+            versions: Vec::new(),
+            resumes: String::new(),
             expected_ms: 0.0,
             first_event_ms: None,
             status: 0,
@@ -63,6 +69,19 @@
         self.concluded = Some(outcome);
     }
 
+    /// Records that the request is sent to the upstream of `slot`.
+    pub fn record_attempt(&mut self, slot: &Slot) {
+        self.attempts.push(slot.upstream.to_string());
+        self.versions.push(slot.version.to_string());
+    }
+
+    /// Records that the request resumes the stream of the caller's attempt `resumes`.
+    pub fn record_resumes(&mut self, resumes: &str) {
+        self.resumes = resumes.chars().take(MAX_ID_CHARS).collect();
+        metrics::counter!("serve_streams_resumed_total", "by" => "caller", "version" => "unknown")
+            .increment(1);
+    }
+
     /// Moves the record out and leaves one behind that isn't logged.
     pub fn take(&mut self) -> Self {
         let empty = Self::new(self.context.clone(), "");
@@ -96,7 +115,8 @@
             "reason" => self.reason.as_str(), "route" => self.route.as_str(),
             "organisation" => self.organisation.as_str(), "token" => self.token,
             "configuration" => self.version, "store_age_ms" => store_age.as_millis() as u64,
-            "attempts" => self.attempts.join(","), "expected_ms" => self.expected_ms as u64,
+            "attempts" => self.attempts.join(","), "versions" => self.versions.join(","),
+            "resumes" => self.resumes.as_str(), "expected_ms" => self.expected_ms as u64,
             "first_event_ms" => self.first_event_ms.map_or(-1, |first| first as i64),
             "took_ms" => self.started_at.until(now).as_millis() as u64);
     }
--- a/src/serve/relay.rs
+++ b/src/serve/relay.rs
@@ -151,9 +151,6 @@
         self.decoder.restart();
         let last = self.decoder.last();
         self.history.tried.push(self.slot.upstream.clone());
-        emit!(self.context.log, Event::StreamResumed, "request" => self.record.request_id.as_str(),
-            "upstream" => self.slot.upstream.as_str(), "reason" => reason,
-            "last_event" => last.map_or(-1, |last| last as i64));
         // Close the broken response first: two upstreams must not run the same request.
         self.answer.body.close();
         let sent = exchange::send(
@@ -166,6 +163,7 @@
         .await;
         match sent {
             Ok(sent) if sent.answer.status.is_success() => {
+                self.log_resumed(&sent.slot, reason, last);
                 self.answer = sent.answer;
                 self.slot = sent.slot;
                 true
@@ -174,6 +172,16 @@
         }
     }
 
+    fn log_resumed(&self, next: &Slot, reason: &str, last: Option<u64>) {
+        let version = if next.version == self.slot.version { "same" } else { "other" };
+        metrics::counter!("serve_streams_resumed_total", "by" => "relay", "version" => version)
+            .increment(1);
+        emit!(self.context.log, Event::StreamResumed, "request" => self.record.request_id.as_str(),
+            "upstream" => self.slot.upstream.as_str(), "version" => self.slot.version.as_str(),
+            "next" => next.upstream.as_str(), "next_version" => next.version.as_str(),
+            "reason" => reason, "last_event" => last.map_or(-1, |last| last as i64));
+    }
+
     fn fail(&mut self, reason: &str) -> Option<Result<Bytes, Incomplete>> {
         self.finished = true;
         self.record.reason = reason.to_owned();
--- a/src/serve/store.rs
+++ b/src/serve/store.rs
@@ -7,7 +7,7 @@
 
 use super::configuration::Configuration;
 use crate::error::Result;
-use crate::id::{DataCentre, Service, Upstream, Vm};
+use crate::id::{DataCentre, Service, Upstream, Version, Vm};
 use crate::kv::Entry;
 
 /// Registration of an upstream, as written by itself.
@@ -21,6 +21,8 @@
     pub address: SocketAddr,
     /// Data centre of the upstream.
     pub data_centre: DataCentre,
+    /// Version of its software.
+    pub version: Version,
     /// Number of requests that it runs concurrently.
     pub slots: u32,
     /// Whether it is shutting down and accepts no new requests.
--- a/tests/fleet_load/mod.rs
+++ b/tests/fleet_load/mod.rs
@@ -11,7 +11,7 @@
 use std::time::Duration;
 
 use parsleybeam::clock::Time;
-use parsleybeam::id::{DataCentre, Service, Upstream, Vm};
+use parsleybeam::id::{DataCentre, Service, Upstream, Version, Vm};
 use parsleybeam::serve::jobs::{Rank, interrupt_count};
 use parsleybeam::serve::place::{self, BatchChoice, Contender, Criteria};
 use parsleybeam::serve::store::Registration;
@@ -148,6 +148,7 @@
         service: Service::from("text"),
         address: "127.0.0.1:1".parse().expect("the address is valid"),
         data_centre: DataCentre::from("porto"),
+        version: Version::from("v1"),
         slots: SLOTS,
         draining,
         started_unix_ms: 1,
--- a/tests/serve_load.rs
+++ b/tests/serve_load.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use parsleybeam::clock::Time;
-use parsleybeam::id::{DataCentre, Service, Upstream};
+use parsleybeam::id::{DataCentre, Service, Upstream, Version};
 use parsleybeam::serve::jobs::interrupt_count;
 use parsleybeam::serve::place::{self, BatchChoice, Criteria};
 use parsleybeam::serve::store::Registration;
@@ -57,6 +57,7 @@
             service: Service::from("text"),
             address: "127.0.0.1:1".parse().expect("the address is valid"),
             data_centre: DataCentre::from("porto"),
+            version: Version::from("v1"),
             slots: SLOTS,
             draining: false,
             started_unix_ms: 1,
--- a/tests/serve_place.rs
+++ b/tests/serve_place.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use parsleybeam::clock::Time;
-use parsleybeam::id::{DataCentre, Service, Upstream, Vm};
+use parsleybeam::id::{DataCentre, Service, Upstream, Version, Vm};
 use parsleybeam::serve::jobs::interrupt_count;
 use parsleybeam::serve::place::{self, BatchChoice, Contender, Criteria};
 use parsleybeam::serve::store::Registration;
@@ -18,6 +18,7 @@
         service: Service::from("text"),
         address: "127.0.0.1:1".parse().expect("the address is valid"),
         data_centre: DataCentre::from(data_centre),
+        version: Version::from("v1"),
         slots: 8,
         draining: false,
         started_unix_ms: 1,
