--- a/standins/src/platform/replica.rs
+++ b/standins/src/platform/replica.rs
@@ -100,6 +100,11 @@
         self.state.lock().behaviours.extend(behaviours);
     }
 
+    /// Drops the queued behaviours, so that the next requests are completed.
+    pub fn clear(&self) {
+        self.state.lock().behaviours.clear();
+    }
+
     /// Returns all requests received so far.
     pub fn requests(&self) -> Vec<Request> {
         self.state.lock().requests.clone()
