Resume streams and items only at the version that began them

Cause: no decision knew versions. The relay resumed at any upstream of the service; a caller's new attempt went anywhere, since Resumes wasn't read; items kept their partial output for any upstream, also through a planned stop. Class of fault: state continued elsewhere without the identity of what made it. Now an origin (service and version) belongs to each resumable stream and to an item's partial output. The VM that forwards a first event records it and sends it to three other VMs by rendezvous hashing, which answer when a caller resumes elsewhere; a VM that stops passes its records on. Without a record a stream is resumed only if its service has had one version for 30 s, else it is refused as not run. Resumed streams are placed among their version's upstreams, ejected ones as a last resort, and aren't refused for their expected latency. Items wait 1.5 s for a slot at their version, then start over; if it no longer serves they start over at once. A route moved to another service doesn't take over streams of the former one.

--- a/src/serve/context.rs
+++ b/src/serve/context.rs
@@ -15,6 +15,7 @@
 use super::crash::Crashes;
 use super::jobs::Pending;
 use super::member::{self, Member};
+use super::origin::{History, Origin, Origins};
 use super::place::Contender;
 use super::protocol::Protocol;
 use super::rate::{Limiter, Tolerance};
@@ -23,7 +24,7 @@
 use crate::clock::{Clock, Time};
 use crate::emit;
 use crate::event::Event;
-use crate::id::{Upstream, Version, Vm};
+use crate::id::{Upstream, Vm};
 use crate::settings;
 use crate::transport::Pool;
 
@@ -74,6 +75,12 @@
     pub crashes: RefCell<Crashes>,
     /// Notified when this VM has observed a crash.
     pub crash_seen: Notify,
+    /// Versions of the services' upstreams of late.
+    pub versions: RefCell<History>,
+    /// Origins of streams.
+    pub origins: RefCell<Origins>,
+    /// Notified when other VMs are to be sent records of `origins`.
+    pub stream_begun: Notify,
     /// Notified when this VM's load has changed.
     pub load_changed: Notify,
     /// Notified when any load has changed or an item may be ready to run.
@@ -115,6 +122,9 @@
             contenders: RefCell::default(),
             crashes: RefCell::default(),
             crash_seen: Notify::new(),
+            versions: RefCell::default(),
+            origins: RefCell::default(),
+            stream_begun: Notify::new(),
             load_changed: Notify::new(),
             work_changed: Notify::new(),
         })
@@ -171,7 +181,7 @@
             free: entry.load().total() <= entry.registration.slots,
             answered: Cell::new(false),
             upstream: entry.registration.upstream.clone(),
-            version: entry.registration.version.clone(),
+            origin: Origin::of(&entry.registration),
             address: entry.registration.address,
             context: self.clone(),
         };
@@ -196,8 +206,8 @@
     pub key: Key,
     /// Name of the upstream.
     pub upstream: Upstream,
-    /// Version of the upstream's software when the slot was taken.
-    pub version: Version,
+    /// Service and version of the upstream when the slot was taken.
+    pub origin: Origin,
     /// Address of the upstream.
     pub address: SocketAddr,
     kind: Use,
--- a/src/serve/datagram.rs
+++ b/src/serve/datagram.rs
@@ -8,6 +8,7 @@
 
 use super::crash::Crash;
 use super::jobs::Pending;
+use super::origin::Record;
 
 /// One datagram.
 #[derive(Clone, PartialEq, Message)]
@@ -19,7 +20,7 @@
     #[prost(fixed64, tag = "2")]
     pub incarnation: u64,
     /// The message.
-    #[prost(oneof = "Content", tags = "3, 4, 5, 6, 7, 8")]
+    #[prost(oneof = "Content", tags = "3, 4, 5, 6, 7, 8, 9, 10, 11")]
     pub content: Option<Content>,
 }
 
@@ -44,6 +45,15 @@
     /// Crashes that the sender observed.
     #[prost(message, tag = "8")]
     Crashes(Crashes),
+    /// Origins of streams.
+    #[prost(message, tag = "9")]
+    Origins(Origins),
+    /// Request for the origin of a stream.
+    #[prost(message, tag = "10")]
+    OriginRequest(OriginRequest),
+    /// Response to an `OriginRequest`.
+    #[prost(message, tag = "11")]
+    OriginReply(OriginReply),
 }
 
 /// Load report: the sender's running requests at all upstreams where it has any.
@@ -140,3 +150,40 @@
     #[prost(message, repeated, tag = "1")]
     pub crashes: Vec<Crash>,
 }
+
+/// Origins of streams, for VMs that keep copies.
+#[derive(Clone, PartialEq, Message)]
+pub struct Origins {
+    /// One row per stream.
+    #[prost(message, repeated, tag = "1")]
+    pub records: Vec<Record>,
+}
+
+/// Requests the origin of a stream.
+#[derive(Clone, PartialEq, Message)]
+pub struct OriginRequest {
+    /// Random identifier that the response repeats.
+    #[prost(uint64, tag = "1")]
+    pub request_id: u64,
+    /// Hash that identifies the stream.
+    #[prost(fixed64, tag = "2")]
+    pub stream: u64,
+    /// Service that the stream was sent to.
+    #[prost(string, tag = "3")]
+    pub service: String,
+}
+
+/// The response to an `OriginRequest`.
+#[derive(Clone, PartialEq, Message)]
+pub struct OriginReply {
+    /// Identifier of the request.
+    #[prost(uint64, tag = "1")]
+    pub request_id: u64,
+    /// What the sender knows of the stream; none if nothing.
+    #[prost(message, optional, tag = "2")]
+    pub record: Option<Record>,
+    /// The only version that the sender has seen in the service for as long as a
+    /// stream may last; empty if there were several or it hasn't watched for so long.
+    #[prost(string, tag = "3")]
+    pub only_version: String,
+}
--- a/src/serve/exchange.rs
+++ b/src/serve/exchange.rs
@@ -17,15 +17,17 @@
 use super::configuration::{Configuration, Kind as RouteKind, Route, Tenant};
 use super::context::{Context, Slot, Use};
 use super::crash;
+use super::origin::{Origin, Stream};
 use super::peers::Peers;
-use super::place::{self, Choice, Criteria};
+use super::place::{self, Choice, Criteria, Room};
 use super::protocol::{Head, Metadata, Request};
 use super::rate::Grant;
 use super::record::Record;
 use super::relay::Relay;
+use super::resume;
 use crate::clock::Time;
 use crate::error::{Error, Kind, Result};
-use crate::id::{Organisation, Service, Upstream};
+use crate::id::{Organisation, Service, Upstream, Version};
 use crate::route::Fingerprint;
 use crate::transport::{Failure, Response};
 
@@ -52,6 +54,9 @@
 /// `Retry-After` of quarantined requests.
 const QUARANTINED_RETRY: Duration = Duration::from_secs(60);
 
+/// `Retry-After` of a stream whose version no longer serves.
+const VERSION_GONE_RETRY: Duration = Duration::from_secs(60);
+
 /// A response to the caller.
 pub struct Reply {
     /// HTTP status code.
@@ -82,6 +87,8 @@
     pub(super) head: Head,
     pub(super) route: Route,
     pub(super) service: Service,
+    /// The only version that may run it: that which began its stream.
+    pub(super) version: Option<Version>,
     pub(super) organisation: Option<Organisation>,
     pub(super) authenticated: bool,
     pub(super) deadline: Time,
@@ -89,6 +96,14 @@
 }
 
 impl Admitted {
+    /// The stream that the request begins, or goes on with; none if the route's streams
+    /// can't be resumed.
+    pub(super) fn stream(&self) -> Option<Stream> {
+        let first = self.head.resumes.as_deref().filter(|_| self.head.last_event.is_some());
+        let first = first.or(self.head.request_id.as_deref())?;
+        self.route.resumable.then(|| Stream::of(first))
+    }
+
     /// Fingerprint by which the request is recognized when it is sent again.
     pub(super) fn fingerprint(&self) -> Fingerprint {
         crash::fingerprint(self.organisation.as_ref(), &self.incoming.target(), &self.incoming.body)
@@ -186,9 +201,15 @@
     if route.kind == RouteKind::Batch {
         return Err(Error::new(Kind::Malformed, "a batch route takes jobs only"));
     }
-    let service = route
-        .target(context.random())
-        .ok_or_else(|| Error::new(Kind::NoUpstream, "the route names no service"))?;
+    let resumed = resumed_origin(context, peers, &head, route).await?;
+    let version = resumed.as_ref().map(|origin| origin.version.clone());
+    let service = match resumed {
+        Some(origin) => origin.service,
+        None => route
+            .target(context.random())
+            .cloned()
+            .ok_or_else(|| Error::new(Kind::NoUpstream, "the route names no service"))?,
+    };
     if let Some(tenant) = tenant {
         record.organisation = tenant.organisation.to_string();
         enforce_rate(peers, tenant, record).await?;
@@ -199,13 +220,40 @@
         authenticated: tenant.is_some(),
         deadline: started_at.after(Duration::from_millis(timeout_ms)),
         started_at,
-        service: service.clone(),
+        service,
+        version,
         route: route.clone(),
         incoming,
         head,
     })
 }
 
+/// Origin of the stream that a caller resumes; none if the request begins one.
+async fn resumed_origin(
+    context: &Rc<Context>,
+    peers: &Rc<Peers>,
+    head: &Head,
+    route: &Route,
+) -> Result<Option<Origin>> {
+    if !route.resumable || head.last_event.is_none() {
+        return Ok(None);
+    }
+    let stream = Stream::of(head.resumes.as_deref().unwrap_or_default());
+    let only_service = match route.targets.as_slice() {
+        [(service, _)] => Some(service),
+        _ => None,
+    };
+    let Some(origin) = resume::origin(context, peers, stream, only_service).await else {
+        let detail = "which version began the stream isn't known";
+        return Err(Error::new(Kind::NoUpstream, detail).retry_after(retry_after(context, 0)));
+    };
+    if !route.targets.iter().any(|(service, _)| service == &origin.service) {
+        let detail = format!("the route no longer leads to {}, which began it", origin.service);
+        return Err(Error::new(Kind::NoUpstream, detail).retry_after(VERSION_GONE_RETRY));
+    }
+    Ok(Some(origin))
+}
+
 async fn enforce_rate(peers: &Rc<Peers>, tenant: &Tenant, record: &mut Record) -> Result<()> {
     if tenant.rate_per_s <= 0.0 {
         return Ok(());
@@ -231,6 +279,7 @@
     loop {
         check_deadline_and_contact(context, admitted, history)?;
         check_quarantine(context, admitted, history)?;
+        check_version(context, admitted, history)?;
         let Some(choice) = select(context, admitted, history) else {
             if !history.tried.is_empty() && refusals < MAX_REFUSALS {
                 history.tried.clear();
@@ -246,7 +295,8 @@
             tokio::time::sleep(SELECT_RETRY_PAUSE).await;
             continue;
         };
-        if history.runs == 0 && resume.is_none() {
+        // A stream that is resumed has already cost its callers and upstreams time.
+        if history.runs == 0 && resume.is_none() && admitted.version.is_none() {
             check_latency(context, admitted, &choice)?;
         }
         let Some(slot) = context.take_slot(choice.key, Use::Online) else { continue };
@@ -389,6 +439,7 @@
 fn select(context: &Context, admitted: &Admitted, history: &History) -> Option<Choice> {
     let criteria = Criteria {
         service: &admitted.service,
+        version: admitted.version.as_ref(),
         data_centre: &context.member.data_centre,
         tried: &history.tried,
         tie_breaker: context.random(),
@@ -444,6 +495,20 @@
     Ok(())
 }
 
+/// Refuses to resume a stream of a version that no longer serves.
+fn check_version(context: &Context, admitted: &Admitted, history: &History) -> Result<()> {
+    let Some(version) = &admitted.version else { return Ok(()) };
+    let room = place::room(&context.table.borrow(), &admitted.service, version, context.now());
+    if room != Room::Gone {
+        return Ok(());
+    }
+    let detail = format!("no upstream of version {version} is left, which began the stream");
+    if history.runs > 0 {
+        return Err(Error::new(Kind::OutcomeUnknown, detail));
+    }
+    Err(Error::new(Kind::NoUpstream, detail).retry_after(VERSION_GONE_RETRY))
+}
+
 /// Refuses a quarantined request.
 fn check_quarantine(context: &Context, admitted: &Admitted, history: &History) -> Result<()> {
     let crashes = context.crashes.borrow();
--- a/src/serve/jobs/dispatch.rs
+++ b/src/serve/jobs/dispatch.rs
@@ -20,15 +20,16 @@
 use super::job::Task;
 use super::manager::{Jobs, unix_ms};
 use super::record::{Head, Item};
-use super::run::{self, AttemptOutcome};
+use super::run::{self, AttemptOutcome, Progress};
 use super::schedule::{self, Rank};
 use crate::clock::Time;
 use crate::emit;
 use crate::event::Event;
-use crate::id::Service;
-use crate::serve::configuration::Configuration;
+use crate::id::{Service, Version};
+use crate::serve::configuration::{Configuration, Route};
 use crate::serve::context::{Slot, Use};
-use crate::serve::place::{self, BatchChoice, Contender, Criteria};
+use crate::serve::origin::Origin;
+use crate::serve::place::{self, BatchChoice, Contender, Criteria, Room};
 use crate::serve::upstream::{Key, Timing};
 
 /// Maximum number of items that a VM starts in a row. The pause afterwards lets
@@ -166,15 +167,21 @@
             let Some(route) = configuration.route(&job.head.host, &job.head.path) else {
                 continue;
             };
-            let slot = match self.find_slot(route.target(self.context.random()), now) {
+            let resumes_at = job.resumes_at(index, now).filter(|origin| self.serves(origin, route));
+            let (service, version) = match resumes_at {
+                Some(origin) => (Some(&origin.service), Some(&origin.version)),
+                None => (route.target(self.context.random()), None),
+            };
+            let slot = match self.find_slot(service, version, now) {
                 Ok(slot) => slot,
                 Err(reason) => {
                     choice = reason;
                     continue;
                 }
             };
-            let Some(next) = job.start(index) else { continue };
+            let Some(mut next) = job.start(index) else { continue };
             let item = job.spec.items[next.index].clone();
+            self.start_over_elsewhere(&id, &item.id, &mut next.progress, &slot);
             let (head, due, max_attempts) = (job.head.clone(), job.due, route.max_attempts);
             return Ok(PlannedItem { job: id, head, item, next, due, max_attempts, slot });
         }
@@ -193,7 +200,10 @@
                 continue;
             };
             let timing = route.target(0).map_or(Timing::INITIAL, |service| table.timing(service));
-            let ready = job.ready(timing, now);
+            let is_full = |origin: &Origin| {
+                place::room(&table, &origin.service, &origin.version, now) == Room::Full
+            };
+            let ready = job.ready(timing, is_full, now);
             in_time += ready.in_time;
             if let Some((rank, index)) = ready.first {
                 candidates.push(Candidate { rank, job: id.clone(), index });
@@ -223,9 +233,36 @@
         }
     }
 
-    fn find_slot(&self, service: Option<&Service>, now: Time) -> std::result::Result<Slot, Choice> {
+    /// Whether upstreams of an item's origin still serve its route.
+    fn serves(&self, origin: &Origin, route: &Route) -> bool {
+        let table = self.context.table.borrow();
+        let now = self.context.now();
+        route.targets.iter().any(|(service, _)| service == &origin.service)
+            && place::room(&table, &origin.service, &origin.version, now) != Room::Gone
+    }
+
+    /// Drops the partial output of an item that can't go on at the upstream of `slot`.
+    fn start_over_elsewhere(&self, job: &str, item: &str, progress: &mut Progress, slot: &Slot) {
+        let (events, origin) = (progress.events.len(), progress.origin.clone());
+        if !progress.restrict_to(&slot.origin) {
+            return;
+        }
+        let version = origin.map_or_else(String::new, |origin| origin.version.to_string());
+        metrics::counter!("serve_items_started_over_total").increment(1);
+        emit!(self.context.log, Event::ItemStartedOver, "job" => job, "item" => item,
+            "upstream" => slot.upstream.as_str(), "version" => version,
+            "next_version" => slot.origin.version.as_str(), "events_dropped" => events);
+    }
+
+    fn find_slot(
+        &self,
+        service: Option<&Service>,
+        version: Option<&Version>,
+        now: Time,
+    ) -> std::result::Result<Slot, Choice> {
         let criteria = Criteria {
             service: service.ok_or(Choice::NoFreeSlot)?,
+            version,
             data_centre: &self.context.member.data_centre,
             tried: &[],
             tie_breaker: self.context.random(),
--- a/src/serve/jobs/job.rs
+++ b/src/serve/jobs/job.rs
@@ -11,6 +11,7 @@
 use super::run::{AttemptOutcome, Progress};
 use super::schedule::{Rank, expected_end};
 use crate::clock::Time;
+use crate::serve::origin::Origin;
 use crate::serve::upstream::Timing;
 
 /// Delay before an item is retried after the upstream failed it.
@@ -29,6 +30,9 @@
 const WRITE_PAUSE: Duration = Duration::from_millis(700);
 /// Time before a job is due at which its results start to be written at once.
 const URGENT_BEFORE_DUE: Duration = Duration::from_secs(3);
+/// Time for which an item with partial output waits for a slot at the version that made
+/// it, before it starts over at any version.
+const RESUME_PATIENCE: Duration = Duration::from_millis(1_500);
 /// Maximum number of results in one write.
 const MAX_RESULTS: usize = 16;
 /// Maximum size of the results in one write, in bytes.
@@ -41,6 +45,8 @@
     Waiting {
         /// Earliest time of the next attempt.
         not_before: Time,
+        /// Time until which the item waits for the version that made its partial output.
+        resume_until: Time,
         /// Partial output of earlier attempts.
         progress: Progress,
     },
@@ -52,6 +58,14 @@
     Stored,
 }
 
+impl State {
+    /// The state of an item that waits for `backoff` at least.
+    fn waiting(progress: Progress, now: Time, backoff: Duration) -> Self {
+        let not_before = now.after(backoff);
+        State::Waiting { not_before, resume_until: not_before.after(RESUME_PATIENCE), progress }
+    }
+}
+
 /// The next item to run.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Task {
@@ -132,13 +146,13 @@
     pub fn new(id: String, snapshot: Snapshot, fence: u64, times: Times) -> Self {
         let Snapshot { head, spec, results, partials } = snapshot;
         let Times { owned_since, due, expires } = times;
-        let waiting = State::Waiting { not_before: Time(0), progress: Progress::default() };
-        let mut states = vec![waiting; spec.items.len()];
+        let mut states = vec![
+            State::waiting(Progress::default(), owned_since, Duration::ZERO);
+            spec.items.len()
+        ];
         for partial in partials {
             if let Some(index) = spec.items.iter().position(|item| item.id == partial.item) {
-                let Partial { events, last_event_id, failures, .. } = partial;
-                let progress = Progress { events, last_event_id, failures };
-                states[index] = State::Waiting { not_before: Time(0), progress };
+                states[index] = State::waiting(partial.into(), owned_since, Duration::ZERO);
             }
         }
         for result in &results {
@@ -164,11 +178,16 @@
 
     /// Waiting items that may run at `now`: the most urgent one and the number of
     /// those that can still end in time.
-    pub fn ready(&self, timing: Timing, now: Time) -> Ready {
+    /// Items whose partial output was made by a version for which `is_full` holds wait for it.
+    pub fn ready<F>(&self, timing: Timing, is_full: F, now: Time) -> Ready
+    where
+        F: Fn(&Origin) -> bool,
+    {
         let mut ready = Ready::default();
         for (index, (item, state)) in self.spec.items.iter().zip(&self.states).enumerate() {
-            let State::Waiting { not_before, progress } = state else { continue };
-            if !not_before.passed(now) {
+            let State::Waiting { not_before, resume_until, progress } = state else { continue };
+            let waits = !resume_until.passed(now) && progress.origin.as_ref().is_some_and(&is_full);
+            if !not_before.passed(now) || waits {
                 continue;
             }
             let rank = Rank::new(self.due, expected_end(item, progress, timing, now));
@@ -180,6 +199,16 @@
         ready
     }
 
+    /// Service and version that a waiting item should go on at; none if any will do.
+    pub fn resumes_at(&self, index: usize, now: Time) -> Option<&Origin> {
+        match self.states.get(index)? {
+            State::Waiting { resume_until, progress, .. } if !resume_until.passed(now) => {
+                progress.origin.as_ref()
+            }
+            _ => None,
+        }
+    }
+
     /// Marks a waiting item as running; none if it isn't waiting.
     pub fn start(&mut self, index: usize) -> Option<Task> {
         if !matches!(self.states.get(index), Some(State::Waiting { .. })) {
@@ -221,19 +250,15 @@
             AttemptOutcome::Failed(progress) if progress.failures >= max_attempts => {
                 done(Outcome::DeadLetter, String::new())
             }
-            AttemptOutcome::Failed(progress) => {
-                State::Waiting { not_before: now.after(FAILURE_BACKOFF), progress }
-            }
+            AttemptOutcome::Failed(progress) => State::waiting(progress, now, FAILURE_BACKOFF),
             AttemptOutcome::Interrupted(progress) => {
-                State::Waiting { not_before: now.after(INTERRUPTION_BACKOFF), progress }
-            }
-            AttemptOutcome::Held(progress) => {
-                State::Waiting { not_before: now.after(HELD_BACKOFF), progress }
+                State::waiting(progress, now, INTERRUPTION_BACKOFF)
             }
+            AttemptOutcome::Held(progress) => State::waiting(progress, now, HELD_BACKOFF),
             AttemptOutcome::Broken(progress) => {
                 self.broken_counts[index] += 1;
                 let wait = BROKEN_BACKOFF.saturating_mul(1 << self.broken_counts[index].min(5));
-                State::Waiting { not_before: now.after(wait.min(MAX_BACKOFF)), progress }
+                State::waiting(progress, now, wait.min(MAX_BACKOFF))
             }
         };
     }
@@ -243,8 +268,7 @@
         let items = self.spec.items.iter().zip(&self.states).enumerate();
         let partial = |(index, (item, state)): (usize, (&super::Item, &State))| match state {
             State::Waiting { progress, .. } if progress.last_event_id.is_some() => {
-                let Progress { events, last_event_id, failures } = progress.clone();
-                Some((index, Partial { item: item.id.clone(), events, last_event_id, failures }))
+                Some((index, Partial::new(item.id.clone(), progress.clone())))
             }
             _ => None,
         };
--- a/src/serve/jobs/record.rs
+++ b/src/serve/jobs/record.rs
@@ -2,9 +2,11 @@
 
 use prost::{Enumeration, Message};
 
+use super::run::Progress;
 use crate::error::{Error, Kind, Result};
 use crate::kv::Entry;
 use crate::serve::member::Member;
+use crate::serve::origin::Origin;
 
 /// Prefix of the keys of jobs.
 pub const JOB_PREFIX: &str = "job/";
@@ -123,6 +125,35 @@
     /// Number of attempts that an upstream failed.
     #[prost(uint32, tag = "4")]
     pub failures: u32,
+    /// Service of the upstreams that the events came from.
+    #[prost(string, tag = "5")]
+    pub service: String,
+    /// Software version of these upstreams.
+    #[prost(string, tag = "6")]
+    pub version: String,
+}
+
+impl Partial {
+    /// The partial output of the item `item`.
+    pub fn new(item: String, progress: Progress) -> Self {
+        let Progress { events, last_event_id, failures, origin } = progress;
+        let (service, version) = origin.map_or_else(Default::default, |origin| {
+            (origin.service.to_string(), origin.version.to_string())
+        });
+        Self { item, events, last_event_id, failures, service, version }
+    }
+}
+
+impl From<Partial> for Progress {
+    /// Events of an unknown version are dropped, since nothing can go on from them.
+    fn from(partial: Partial) -> Self {
+        let Partial { events, last_event_id, failures, service, version, .. } = partial;
+        if version.is_empty() {
+            return Self { failures, ..Self::default() };
+        }
+        let origin = Origin { service: service.as_str().into(), version: version.as_str().into() };
+        Self { events, last_event_id, failures, origin: Some(origin) }
+    }
 }
 
 /// Pending entry of a job with remaining items, shared by all VMs.
--- a/src/serve/jobs/run.rs
+++ b/src/serve/jobs/run.rs
@@ -14,6 +14,7 @@
 use crate::serve::context::{Context, Slot};
 use crate::serve::crash;
 use crate::serve::event::Decoder;
+use crate::serve::origin::Origin;
 use crate::serve::protocol::Metadata;
 use crate::transport::{Failure, Response};
 
@@ -33,6 +34,19 @@
     pub last_event_id: Option<u64>,
     /// Number of attempts that an upstream failed.
     pub failures: u32,
+    /// Service and version that made the events; none before the first event.
+    pub origin: Option<Origin>,
+}
+
+impl Progress {
+    /// Drops events that upstreams of `origin` can't go on from; whether there were any.
+    pub fn restrict_to(&mut self, origin: &Origin) -> bool {
+        if self.origin.as_ref().is_none_or(|begun| begun == origin) {
+            return false;
+        }
+        *self = Self { failures: self.failures, ..Self::default() };
+        true
+    }
 }
 
 /// Outcome of an attempt.
@@ -175,6 +189,7 @@
                     Ok(Some(event)) => {
                         self.progress.events.push(event.data());
                         self.progress.last_event_id = Some(event.id);
+                        self.progress.origin.get_or_insert_with(|| self.slot.origin.clone());
                     }
                     Ok(None) => break,
                     Err(error) => return self.report_failure(&error.to_string()).await,
--- a/src/serve/member.rs
+++ b/src/serve/member.rs
@@ -74,6 +74,17 @@
         .max_by_key(|member| rank(&member.vm, name))
 }
 
+/// The members other than `own` that keep a copy of what belongs to `name`: the
+/// `count` highest by rendezvous hashing. Leaving members are skipped.
+pub fn replicas<'a>(members: &'a [Listed], own: &Vm, name: &str, count: usize) -> Vec<&'a Member> {
+    let others = members.iter().map(|listed| &listed.member);
+    let mut others: Vec<&Member> =
+        others.filter(|member| !member.leaving && &member.vm != own).collect();
+    others.sort_by_key(|member| std::cmp::Reverse(rank(&member.vm, name)));
+    others.truncate(count);
+    others
+}
+
 /// Rendezvous hash of a VM for `name`; the highest one owns the name.
 pub fn rank(vm: &Vm, name: &str) -> u64 {
     use std::hash::Hasher;
--- a/src/serve/mod.rs
+++ b/src/serve/mod.rs
@@ -11,7 +11,7 @@
 //! |---|---|---|
 //! | upstream selection and load shedding | `place` | `exchange` |
 //! | rate limits | `rate` | `peers` |
-//! | order and resumption of streams | `event` | `relay` |
+//! | order and resumption of streams | `event`, `origin` | `relay`, `peers` |
 //! | items, results, positions | `jobs::Job` | `jobs::Jobs` |
 //! | membership and ownership | `member` | `poller` |
 //! | access to the store | `channel` | `channel`, `reader` |
@@ -29,6 +29,7 @@
 pub mod jobs;
 pub mod member;
 pub mod node;
+pub mod origin;
 pub mod peers;
 pub mod place;
 pub mod poller;
@@ -37,5 +38,6 @@
 pub mod reader;
 pub mod record;
 pub mod relay;
+pub mod resume;
 pub mod store;
 pub mod upstream;
--- a/src/serve/node.rs
+++ b/src/serve/node.rs
@@ -118,6 +118,7 @@
     actix_rt::spawn(peers.clone().listen(jobs.clone()));
     actix_rt::spawn(peers.clone().announce());
     actix_rt::spawn(peers.clone().announce_crashes());
+    actix_rt::spawn(peers.clone().announce_origins());
     actix_rt::spawn(poller.clone().run());
     actix_rt::spawn(jobs.clone().dispatch());
     Ok(Node {
@@ -158,6 +159,7 @@
         self.context.stopping.set(true);
         self.context.limiter.borrow_mut().resign();
         self.peers.send_load();
+        self.peers.hand_over_origins();
         self.jobs.hand_over().await;
         self.mark_leaving().await;
         let refuse = started.after(ACCEPT_DURING_STOP.min(stop / 2));
--- a/src/serve/peers.rs
+++ b/src/serve/peers.rs
@@ -21,6 +21,7 @@
 use super::member::{Member, owner};
 use super::place::Contender;
 use super::rate;
+use super::resume;
 use super::upstream::{self, PeerLoad};
 use crate::clock::Time;
 use crate::emit;
@@ -85,6 +86,7 @@
     socket: UdpSocket,
     states: RefCell<HashMap<Vm, PeerState>>,
     token_requests: RefCell<HashMap<u64, oneshot::Sender<Grant>>>,
+    pub(super) origin_requests: resume::Requests,
     sequence: Cell<u64>,
     started: Time,
     relays: Relays,
@@ -99,12 +101,18 @@
             socket,
             states: RefCell::default(),
             token_requests: RefCell::default(),
+            origin_requests: resume::Requests::default(),
             sequence: Cell::new(0),
             started,
             relays,
         })
     }
 
+    /// State of the serving path.
+    pub(super) fn context(&self) -> &Rc<Context> {
+        &self.context
+    }
+
     /// Receives and handles datagrams until the process exits.
     pub async fn listen(self: Rc<Self>, jobs: Rc<Jobs>) {
         let mut buffer = vec![0; MAX_DATAGRAM_BYTES];
@@ -191,7 +199,7 @@
 
     /// Addresses of all members, and of VMs heard recently that aren't listed,
     /// which may be listed again.
-    fn others(&self) -> Vec<SocketAddr> {
+    pub(super) fn others(&self) -> Vec<SocketAddr> {
         let view = self.context.view.borrow();
         let others = view.members.iter().filter(|listed| &listed.member.vm != self.context.vm());
         let listed = others.map(|listed| listed.member.peer);
@@ -216,6 +224,11 @@
         }
     }
 
+    /// Sends a datagram to one VM.
+    pub(super) fn send_to(&self, content: Content, address: SocketAddr) {
+        self.send(&self.datagram(content), address);
+    }
+
     fn datagram(&self, content: Content) -> Vec<u8> {
         let vm = self.context.vm().to_string();
         let incarnation = self.context.member.incarnation;
@@ -234,7 +247,7 @@
             }
             Some(Content::TokenRequest(request)) => {
                 let grant = self.grant(&request);
-                self.send(&self.datagram(Content::Grant(grant)), from);
+                self.send_to(Content::Grant(grant), from);
             }
             Some(Content::Grant(grant)) => {
                 let waiting = self.token_requests.borrow_mut().remove(&grant.request_id);
@@ -251,6 +264,15 @@
                 jobs.directory.borrow_mut().announce(&opened.job, pending, self.context.now());
             }
             Some(Content::Crashes(report)) => crash::merge(&self.context, &report.crashes),
+            Some(Content::Origins(report)) => {
+                let now = self.context.now();
+                self.context.origins.borrow_mut().merge(&report.records, now);
+            }
+            Some(Content::OriginRequest(request)) => {
+                let reply = resume::reply(&self.context, &request);
+                self.send_to(Content::OriginReply(reply), from);
+            }
+            Some(Content::OriginReply(reply)) => self.origin_requests.deliver(reply),
             None => {}
         }
     }
@@ -379,7 +401,7 @@
             self.token_requests.borrow_mut().insert(request_id, sender);
             let organisation = tenant.organisation.to_string();
             let request = Content::TokenRequest(TokenRequest { request_id, organisation });
-            self.send(&self.datagram(request), holder.peer);
+            self.send_to(request, holder.peer);
             let answer = tokio::time::timeout(TOKEN_REQUEST_TIMEOUT, receiver).await;
             self.token_requests.borrow_mut().remove(&request_id);
             let Ok(Ok(grant)) = answer else { continue };
@@ -404,7 +426,7 @@
         let member = view.members.iter().find(|listed| listed.member.vm.as_str() == owner);
         if let Some(listed) = member {
             let changed = Content::Changed(Changed { job: job.to_owned() });
-            self.send(&self.datagram(changed), listed.member.peer);
+            self.send_to(changed, listed.member.peer);
         }
     }
 
--- a/src/serve/place.rs
+++ b/src/serve/place.rs
@@ -12,7 +12,7 @@
 
 use super::upstream::{Entry, Key, Table, Timing};
 use crate::clock::Time;
-use crate::id::{DataCentre, Service, Upstream, Vm};
+use crate::id::{DataCentre, Service, Upstream, Version, Vm};
 
 /// Time to preempt a batch item, in milliseconds.
 const PREEMPTION_MS: f64 = 20.0;
@@ -30,6 +30,10 @@
 /// Cost of such an upstream, in milliseconds: it is used only when the others are full.
 const PEER_FAILURE_PENALTY_MS: f64 = 250.0;
 
+/// Cost of an upstream that this VM has ejected, in milliseconds: it is used only when no
+/// other can run the request.
+const EJECTED_PENALTY_MS: f64 = 100_000.0;
+
 /// Free slots that batch items leave, in standard deviations of the number of
 /// running online requests.
 const HEADROOM_DEVIATIONS: f64 = 0.6;
@@ -39,6 +43,8 @@
 pub struct Criteria<'a> {
     /// Service that is to run the request.
     pub service: &'a Service,
+    /// The only version that may run it; none: any version.
+    pub version: Option<&'a Version>,
     /// Data centre of this VM.
     pub data_centre: &'a DataCentre,
     /// Upstreams that have already failed or refused this request.
@@ -47,6 +53,13 @@
     pub tie_breaker: u64,
 }
 
+impl Criteria<'_> {
+    /// Whether an upstream has the version that the request needs.
+    fn allows(&self, entry: &Entry) -> bool {
+        self.version.is_none_or(|version| version == &entry.registration.version)
+    }
+}
+
 /// A selected upstream.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Choice {
@@ -60,8 +73,15 @@
 
 /// Selects an upstream for an online request; none if no upstream is usable.
 pub fn online(table: &Table, criteria: Criteria<'_>, now: Time) -> Option<Choice> {
+    // A stream that only one version can go on with takes an ejected upstream too.
+    let sendable = |entry: &Entry| match criteria.version {
+        Some(_) => !entry.registration.draining,
+        None => entry.usable(now),
+    };
     let usable = |(_, entry): &(Key, &Entry)| {
-        entry.usable(now) && !criteria.tried.contains(&entry.registration.upstream)
+        sendable(entry)
+            && criteria.allows(entry)
+            && !criteria.tried.contains(&entry.registration.upstream)
     };
     let timing = table.timing(criteria.service);
     table
@@ -84,8 +104,14 @@
             } else {
                 0.0
             };
-            let cost_ms =
-                expected_ms + tie_break_ms + distance_ms + item_cost_ms + history_ms + penalty_ms;
+            let ejected_ms = if entry.usable(now) { 0.0 } else { EJECTED_PENALTY_MS };
+            let cost_ms = expected_ms
+                + tie_break_ms
+                + distance_ms
+                + item_cost_ms
+                + history_ms
+                + penalty_ms
+                + ejected_ms;
             (Choice { key, expected_ms, free }, cost_ms)
         })
         .min_by(|(_, a), (_, b)| a.total_cmp(b))
@@ -129,6 +155,33 @@
     (HEADROOM_DEVIATIONS * f64::from(online).sqrt()) as u32
 }
 
+/// What a version of a service can take of what it began earlier.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Room {
+    /// A usable upstream of the version has a free slot.
+    Free,
+    /// The version serves, but no slot is free now.
+    Full,
+    /// No upstream of the version serves any more.
+    Gone,
+}
+
+/// Whether upstreams of a version can take what that version began.
+pub fn room(table: &Table, service: &Service, version: &Version, now: Time) -> Room {
+    let of_version = table
+        .of_service(service)
+        .map(|(_, entry)| entry)
+        .filter(|entry| &entry.registration.version == version && !entry.registration.draining);
+    let mut room = Room::Gone;
+    for entry in of_version {
+        if entry.usable(now) && entry.free_slots() > 0 {
+            return Room::Free;
+        }
+        room = Room::Full;
+    }
+    room
+}
+
 /// Number of free slots at the usable upstreams of a service.
 fn free_slots(table: &Table, service: &Service, now: Time) -> u32 {
     let usable = table.of_service(service).filter(|(_, entry)| entry.usable(now));
@@ -154,7 +207,10 @@
     let chosen = table
         .of_service(criteria.service)
         .filter(|(_, entry)| {
-            entry.usable(now) && entry.peer_failures < MIN_PEER_FAILURES && entry.free_slots() > 0
+            entry.usable(now)
+                && criteria.allows(entry)
+                && entry.peer_failures < MIN_PEER_FAILURES
+                && entry.free_slots() > 0
         })
         .filter(|(_, entry)| {
             let own_turn = turn(entry.number);
--- a/src/serve/poller.rs
+++ b/src/serve/poller.rs
@@ -137,6 +137,7 @@
     fn apply_upstreams(&self, snapshot: &Snapshot, sent_at: Time, now: Time) {
         let last = self.context.view.borrow().confirmed_at;
         let outage = last != Time(0) && last.after(OUTAGE).passed(sent_at);
+        self.context.versions.borrow_mut().observe(&snapshot.upstreams, sent_at);
         let (added, removed) =
             self.context.table.borrow_mut().replace(&snapshot.upstreams, outage, now);
         for upstream in added {
--- a/src/serve/record.rs
+++ b/src/serve/record.rs
@@ -72,7 +72,7 @@
     /// Records that the request is sent to the upstream of `slot`.
     pub fn record_attempt(&mut self, slot: &Slot) {
         self.attempts.push(slot.upstream.to_string());
-        self.versions.push(slot.version.to_string());
+        self.versions.push(slot.origin.version.to_string());
     }
 
     /// Records that the request resumes the stream of the caller's attempt `resumes`.
--- a/src/serve/relay.rs
+++ b/src/serve/relay.rs
@@ -126,11 +126,23 @@
             self.first_event = Some(now);
             self.record.first_event_ms = Some(first_ms as u64);
             self.slot.record_first_event();
+            self.record_origin(now);
             metrics::histogram!("serve_first_event_seconds").record(first_ms / 1e3);
         }
         Ok(Some(events.freeze()))
     }
 
+    /// Binds the stream to the service and version that sent its first event.
+    fn record_origin(&mut self, now: Time) {
+        let Some(stream) = self.admitted.stream() else { return };
+        let origin = &self.slot.origin;
+        self.admitted.version = Some(origin.version.clone());
+        let mut origins = self.context.origins.borrow_mut();
+        origins.record(stream, origin, self.admitted.deadline, now);
+        drop(origins);
+        self.context.stream_begun.notify_one();
+    }
+
     /// How long to wait for the next chunk.
     fn chunk_timeout(&self) -> Duration {
         let remaining = self.context.now().until(self.admitted.deadline);
@@ -173,12 +185,12 @@
     }
 
     fn log_resumed(&self, next: &Slot, reason: &str, last: Option<u64>) {
-        let version = if next.version == self.slot.version { "same" } else { "other" };
+        let version = if next.origin == self.slot.origin { "same" } else { "other" };
         metrics::counter!("serve_streams_resumed_total", "by" => "relay", "version" => version)
             .increment(1);
         emit!(self.context.log, Event::StreamResumed, "request" => self.record.request_id.as_str(),
-            "upstream" => self.slot.upstream.as_str(), "version" => self.slot.version.as_str(),
-            "next" => next.upstream.as_str(), "next_version" => next.version.as_str(),
+            "upstream" => self.slot.upstream.as_str(), "version" => self.slot.origin.version.as_str(),
+            "next" => next.upstream.as_str(), "next_version" => next.origin.version.as_str(),
             "reason" => reason, "last_event" => last.map_or(-1, |last| last as i64));
     }
 
--- a/tests/fleet_load/mod.rs
+++ b/tests/fleet_load/mod.rs
@@ -299,8 +299,13 @@
         let vm = self.random.random_range(0..self.vms.len());
         let tie_breaker = self.random.random();
         let (service, data_centre) = names();
-        let criteria =
-            Criteria { service: &service, data_centre: &data_centre, tried: &[], tie_breaker };
+        let criteria = Criteria {
+            service: &service,
+            version: None,
+            data_centre: &data_centre,
+            tried: &[],
+            tie_breaker,
+        };
         self.sent += 1;
         let choice = place::online(&self.vms[vm].table, criteria, time(self.now_ms));
         let choice = choice.expect("an upstream is usable");
@@ -365,8 +370,13 @@
         let own = self.contender(vm).expect("an item is ready");
         let (service, data_centre) = names();
         let tie_breaker = self.random.random();
-        let criteria =
-            Criteria { service: &service, data_centre: &data_centre, tried: &[], tie_breaker };
+        let criteria = Criteria {
+            service: &service,
+            version: None,
+            data_centre: &data_centre,
+            tried: &[],
+            tie_breaker,
+        };
         let slice = now_ms / SLICE_MS;
         let table = &self.vms[vm].table;
         let reserve = u32::from(design == Design::Reserve);
--- a/tests/serve_jobs.rs
+++ b/tests/serve_jobs.rs
@@ -4,10 +4,12 @@
 use std::time::Duration;
 
 use parsleybeam::clock::Time;
+use parsleybeam::id::{Service, Version};
 use parsleybeam::serve::jobs::{
-    AttemptOutcome, Head, Item, ItemResult, Job, Outcome, Progress, Rank, Snapshot, Spec, Status,
-    Task, Times, expected_end,
+    AttemptOutcome, Head, Item, ItemResult, Job, Outcome, Partial, Progress, Rank, Snapshot, Spec,
+    Status, Task, Times, expected_end,
 };
+use parsleybeam::serve::origin::Origin;
 use parsleybeam::serve::upstream::Timing;
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -27,10 +29,14 @@
 
 /// Starts the most urgent item that may run.
 fn start(job: &mut Job, now: Time) -> Option<Task> {
-    let (_, index) = job.ready(Timing::INITIAL, now).first?;
+    let (_, index) = job.ready(Timing::INITIAL, |_| false, now).first?;
     job.start(index)
 }
 
+fn origin(version: &str) -> Origin {
+    Origin { service: Service::from("text"), version: Version::from(version) }
+}
+
 fn completed(text: &str) -> AttemptOutcome {
     AttemptOutcome::Completed(text.into())
 }
@@ -76,7 +82,8 @@
 fn finish_attempt_interrupted_keeps_progress() {
     let mut job = job(snapshot(1));
     let next = start(&mut job, NOW).expect("an item is waiting");
-    let progress = Progress { events: vec!["a".into()], last_event_id: Some(1), failures: 0 };
+    let progress =
+        Progress { events: vec!["a".into()], last_event_id: Some(1), failures: 0, origin: None };
     job.finish_attempt(next.index, AttemptOutcome::Interrupted(progress.clone()), 3, NOW);
     let soon = NOW.after(Duration::from_millis(100));
     assert_eq!(start(&mut job, soon).expect("the item may run again soon").progress, progress);
@@ -97,8 +104,12 @@
 fn new_with_partials() {
     let mut first = job(snapshot(2));
     let next = start(&mut first, NOW).expect("an item is waiting");
-    let progress =
-        Progress { events: vec!["a".into(), "b".into()], last_event_id: Some(2), failures: 1 };
+    let progress = Progress {
+        events: vec!["a".into(), "b".into()],
+        last_event_id: Some(2),
+        failures: 1,
+        origin: Some(origin("v1")),
+    };
     first.finish_attempt(next.index, AttemptOutcome::Interrupted(progress.clone()), 3, NOW);
     let partials: Vec<_> = first.partials().into_iter().map(|(_, partial)| partial).collect();
     assert_eq!(partials.len(), 1);
@@ -106,6 +117,54 @@
     assert_eq!(start(&mut second, NOW).expect("an item is waiting").progress, progress);
 }
 
+#[test]
+fn new_with_partial_of_unknown_version() {
+    let events = vec!["a".to_owned()];
+    let partial = Partial { item: "item-0".into(), events, failures: 1, ..Partial::default() };
+    let mut job = job(Snapshot { partials: vec![partial], ..snapshot(1) });
+    let progress = start(&mut job, NOW).expect("the item is waiting").progress;
+    assert_eq!(progress, Progress { failures: 1, ..Progress::default() });
+}
+
+#[test]
+fn ready_waits_for_its_version_until_a_deadline() {
+    let mut job = job(snapshot(2));
+    let next = start(&mut job, NOW).expect("an item is waiting");
+    let progress = Progress {
+        events: vec!["a".into()],
+        last_event_id: Some(1),
+        origin: Some(origin("v1")),
+        ..Progress::default()
+    };
+    job.finish_attempt(next.index, AttemptOutcome::Interrupted(progress), 3, NOW);
+    let is_full = |full: &Origin| full == &origin("v1");
+    let soon = NOW.after(Duration::from_millis(200));
+    let first = |job: &Job, now| job.ready(Timing::INITIAL, is_full, now).first;
+    let other = first(&job, soon).expect("the other item isn't held up").1;
+    assert_ne!(other, next.index);
+    job.start(other).expect("it starts");
+    assert_eq!(first(&job, soon), None);
+    assert_eq!(job.resumes_at(next.index, soon), Some(&origin("v1")));
+    let late = NOW.after(Duration::from_secs(2));
+    assert_eq!(first(&job, late).map(|(_, index)| index), Some(next.index));
+    assert_eq!(job.resumes_at(next.index, late), None, "it may start over anywhere");
+}
+
+#[test]
+fn restrict_to_another_version() {
+    let begun = Progress {
+        events: vec!["a".into()],
+        last_event_id: Some(1),
+        failures: 2,
+        origin: Some(origin("v1")),
+    };
+    let mut progress = begun.clone();
+    assert!(!progress.restrict_to(&origin("v1")));
+    assert_eq!(progress, begun);
+    assert!(progress.restrict_to(&origin("v2")));
+    assert_eq!(progress, Progress { failures: 2, ..Progress::default() });
+}
+
 #[test]
 fn dead_letter_waiting_only() {
     let mut job = job(snapshot(3));
@@ -190,7 +249,7 @@
     let due = NOW.after(Duration::from_millis(3_000));
     let times = Times { owned_since: NOW, due, expires: Time::NEVER };
     let job = Job::new("job".into(), snapshot, 7, times);
-    let ready = job.ready(TIMING, NOW);
+    let ready = job.ready(TIMING, |_| false, NOW);
     assert_eq!(ready.first.expect("items are waiting").1, 1, "the other would end late");
     assert_eq!(ready.in_time, 1);
 }
--- /dev/null
+++ b/tests/serve_origin.rs
@@ -0,0 +1,166 @@
+//! Origins of streams: what VMs record, tell each other and forget, and when the version
+//! of a stream without a record is known all the same.
+
+use std::time::Duration;
+
+use parsleybeam::clock::Time;
+use parsleybeam::id::{DataCentre, Service, Upstream, Version};
+use parsleybeam::serve::origin::{History, Origin, Origins, Stream};
+use parsleybeam::serve::place::{self, Criteria, Room};
+use parsleybeam::serve::store::Registration;
+use parsleybeam::serve::upstream::Table;
+
+const NOW: Time = Time(100_000_000);
+
+fn registration(name: &str, version: &str) -> Registration {
+    Registration {
+        upstream: Upstream::from(name),
+        service: Service::from("text"),
+        address: "127.0.0.1:1".parse().expect("the address is valid"),
+        data_centre: DataCentre::from("porto"),
+        version: Version::from(version),
+        slots: 1,
+        draining: false,
+        started_unix_ms: 1,
+    }
+}
+
+fn origin(version: &str) -> Origin {
+    Origin::of(&registration("any", version))
+}
+
+fn seconds(count: u64) -> Time {
+    NOW.after(Duration::from_secs(count))
+}
+
+#[test]
+fn record_merged_by_another_vm() {
+    let (mut here, mut there) = (Origins::default(), Origins::default());
+    let stream = Stream::of("r-1");
+    here.record(stream, &origin("v2"), seconds(5), NOW);
+    let records = here.take_unsent(NOW);
+    assert_eq!(records.len(), 1);
+    assert!(here.take_unsent(NOW).is_empty(), "each record is sent once");
+    there.merge(&records, NOW);
+    assert_eq!(there.origin(stream, seconds(20)), Some(&origin("v2")));
+    assert!(there.take_unsent(NOW).is_empty(), "records of others aren't passed on");
+    assert_eq!(there.origin(Stream::of("r-2"), NOW), None);
+}
+
+#[test]
+fn record_kept_past_its_deadline_and_no_longer() {
+    let mut origins = Origins::default();
+    let stream = Stream::of("r-1");
+    origins.record(stream, &origin("v1"), seconds(5), NOW);
+    assert!(origins.origin(stream, seconds(34)).is_some());
+    assert!(origins.origin(stream, seconds(36)).is_none());
+    origins.record(stream, &origin("v1"), seconds(10), seconds(6));
+    assert!(origins.origin(stream, seconds(38)).is_some(), "a later attempt extends it");
+    origins.record(Stream::of("r-2"), &origin("v1"), seconds(105), seconds(100));
+    assert_eq!(origins.len(), 1, "forgotten records take no memory");
+}
+
+#[test]
+fn record_first_origin_stands() {
+    let mut origins = Origins::default();
+    let stream = Stream::of("r-1");
+    origins.record(stream, &origin("v1"), seconds(5), NOW);
+    origins.record(stream, &origin("v2"), seconds(5), NOW);
+    assert_eq!(origins.origin(stream, NOW), Some(&origin("v1")));
+}
+
+#[test]
+fn record_bounded() {
+    let mut origins = Origins::default();
+    for index in 0..70_000 {
+        origins.record(Stream::of(&index.to_string()), &origin("v1"), seconds(5), NOW);
+    }
+    assert!(origins.len() <= 65_536, "{}", origins.len());
+    assert!(origins.origin(Stream::of("69999"), NOW).is_some(), "the oldest go first");
+}
+
+/// Observes `registrations` each second from `from` to `to`.
+fn observe(history: &mut History, registrations: &[Registration], from: u64, to: u64) {
+    (from..=to).for_each(|second| history.observe(registrations, seconds(second)));
+}
+
+#[test]
+fn only_version_after_a_while() {
+    let (mut history, service) = (History::default(), Service::from("text"));
+    let one = [registration("a", "v1")];
+    observe(&mut history, &one, 0, 29);
+    assert_eq!(history.only_version(&service, seconds(29)), None, "others may have left before");
+    observe(&mut history, &one, 30, 31);
+    assert_eq!(history.only_version(&service, seconds(31)), Some(&Version::from("v1")));
+    assert_eq!(history.only_version(&Service::from("none"), seconds(31)), None);
+    assert_eq!(history.only_version(&service, seconds(34)), None, "the last read is too old");
+}
+
+#[test]
+fn only_version_none_while_two_are_remembered() {
+    let (mut history, service) = (History::default(), Service::from("text"));
+    observe(&mut history, &[registration("a", "v1")], 0, 40);
+    observe(&mut history, &[registration("a", "v1"), registration("b", "v2")], 41, 45);
+    observe(&mut history, &[registration("b", "v2")], 46, 74);
+    assert_eq!(history.only_version(&service, seconds(74)), None);
+    observe(&mut history, &[registration("b", "v2")], 75, 77);
+    assert_eq!(history.only_version(&service, seconds(77)), Some(&Version::from("v2")));
+}
+
+#[test]
+fn only_version_none_after_a_gap() {
+    let (mut history, service) = (History::default(), Service::from("text"));
+    let one = [registration("a", "v1")];
+    observe(&mut history, &one, 0, 40);
+    observe(&mut history, &one, 60, 80);
+    assert_eq!(history.only_version(&service, seconds(80)), None);
+    observe(&mut history, &one, 81, 91);
+    assert!(history.only_version(&service, seconds(91)).is_some());
+}
+
+fn select(table: &Table, version: Option<&Version>) -> Option<String> {
+    let (service, data_centre) = (Service::from("text"), DataCentre::from("porto"));
+    let criteria = Criteria {
+        service: &service,
+        version,
+        data_centre: &data_centre,
+        tried: &[],
+        tie_breaker: 0,
+    };
+    let choice = place::online(table, criteria, NOW)?;
+    table.get(choice.key).map(|entry| entry.registration.upstream.to_string())
+}
+
+#[test]
+fn online_bound_to_a_version() {
+    let mut table = Table::default();
+    let (old, new) = (Version::from("v1"), Version::from("v2"));
+    table.replace(&[registration("a", "v1"), registration("b", "v2")], false, NOW);
+    assert_eq!(select(&table, Some(&old)).as_deref(), Some("a"));
+    assert_eq!(select(&table, Some(&new)).as_deref(), Some("b"));
+    let (key, _) = table.iter().find(|(_, entry)| entry.number == place_number("a")).expect("a");
+    table.record_failure(key, NOW);
+    assert_eq!(select(&table, None).as_deref(), Some("b"), "an ejected upstream is avoided");
+    assert_eq!(select(&table, Some(&old)).as_deref(), Some("a"), "unless no other can go on");
+    let draining = Registration { draining: true, ..registration("a", "v1") };
+    table.replace(&[draining, registration("b", "v2")], false, NOW);
+    assert_eq!(select(&table, Some(&old)), None);
+}
+
+fn place_number(name: &str) -> u32 {
+    parsleybeam::serve::upstream::number(&Upstream::from(name))
+}
+
+#[test]
+fn room_of_a_version() {
+    let mut table = Table::default();
+    let (service, version) = (Service::from("text"), Version::from("v1"));
+    let room = |table: &Table| place::room(table, &service, &version, NOW);
+    table.replace(&[registration("b", "v2")], false, NOW);
+    assert_eq!(room(&table), Room::Gone);
+    table.replace(&[registration("a", "v1"), registration("b", "v2")], false, NOW);
+    assert_eq!(room(&table), Room::Free);
+    let (key, _) = table.iter().find(|(_, entry)| entry.number == place_number("a")).expect("a");
+    table.get_mut(key).expect("a").own.online = 1;
+    assert_eq!(room(&table), Room::Full);
+}
--- a/tests/serve_place.rs
+++ b/tests/serve_place.rs
@@ -48,7 +48,13 @@
     }
 
     fn criteria<'a>(&'a self, tried: &'a [Upstream]) -> Criteria<'a> {
-        Criteria { service: &self.service, data_centre: &self.data_centre, tried, tie_breaker: 0 }
+        Criteria {
+            service: &self.service,
+            version: None,
+            data_centre: &self.data_centre,
+            tried,
+            tie_breaker: 0,
+        }
     }
 
     fn online(&self, table: &Table) -> Option<(String, f64)> {
