--- a/src/serve/crash.rs
+++ b/src/serve/crash.rs
@@ -16,10 +16,11 @@
 use tokio::net::TcpStream;
 
 use super::context::Context;
+use super::protocol::Part;
 use crate::clock::Time;
 use crate::emit;
 use crate::event::Event;
-use crate::id::Organisation;
+use crate::id::{Organisation, Upstream};
 use crate::route::Fingerprint;
 
 /// Suspected crashes after which a request is quarantined.
@@ -37,6 +38,21 @@
 /// Maximum number of crashes in one message.
 const MAX_ROWS: usize = 64;
 
+/// A run that its upstream broke off.
+#[derive(Clone, Debug)]
+pub struct Broken {
+    /// Identifier of the request or item.
+    pub request_id: String,
+    /// The upstream.
+    pub upstream: Upstream,
+    /// Address of the upstream.
+    pub address: SocketAddr,
+    /// Fingerprint of the request or item.
+    pub fingerprint: Fingerprint,
+    /// Parts of the request's prompt that other requests may share; none for items.
+    pub shared_parts: Vec<Part>,
+}
+
 /// A suspected crash, as VMs report it to each other.
 #[derive(Clone, PartialEq, Message)]
 pub struct Crash {
@@ -148,19 +164,26 @@
 /// Probes whether the upstream that broke off a run has crashed. Returns at
 /// once unless the request is already suspected: then the result of the probe
 /// decides whether it may be sent again.
-pub async fn probe(context: &Rc<Context>, address: SocketAddr, fingerprint: Fingerprint) {
-    let probing = probe_upstream(context.clone(), address, fingerprint);
+pub async fn probe(context: &Rc<Context>, broken: Broken) {
+    let fingerprint = broken.fingerprint;
+    let probing = probe_upstream(context.clone(), broken);
     if context.crashes.borrow().is_suspected(fingerprint) {
         return probing.await;
     }
     actix_rt::spawn(probing);
 }
 
-async fn probe_upstream(context: Rc<Context>, address: SocketAddr, fingerprint: Fingerprint) {
+async fn probe_upstream(context: Rc<Context>, broken: Broken) {
+    let Broken { request_id, upstream, address, fingerprint, shared_parts } = broken;
     let connecting = TcpStream::connect(address);
     if let Ok(Ok(_)) = tokio::time::timeout(PROBE_TIMEOUT, connecting).await {
         return;
     }
+    metrics::counter!("serve_crashes_total").increment(1);
+    let parts: Vec<String> = shared_parts.iter().map(|part| format!("{:016x}", part.0)).collect();
+    emit!(context.log, Event::UpstreamDied, "request" => request_id,
+        "upstream" => upstream.as_str(), "fingerprint" => format!("{:032x}", fingerprint.0),
+        "shared_parts" => parts.join(","));
     let run = context.random();
     if context.crashes.borrow_mut().record_own(fingerprint, run, context.now()) {
         log_quarantined(&context, fingerprint);
--- a/src/serve/exchange.rs
+++ b/src/serve/exchange.rs
@@ -16,7 +16,7 @@
 
 use super::configuration::{Configuration, Kind as RouteKind, Route, Tenant};
 use super::context::{Context, Slot, Use};
-use super::crash;
+use super::crash::{self, Broken};
 use super::origin::{Origin, Stream};
 use super::peers::Peers;
 use super::place::{self, Choice, Criteria, Room};
@@ -104,6 +104,17 @@
         self.route.resumable.then(|| Stream::of(first))
     }
 
+    /// The run that the upstream of `slot` broke off.
+    pub(super) fn broken_at(&self, slot: &Slot) -> Broken {
+        Broken {
+            request_id: self.head.request_id.clone().unwrap_or_default(),
+            upstream: slot.upstream.clone(),
+            address: slot.address,
+            fingerprint: self.fingerprint(),
+            shared_parts: self.head.shared_parts.clone(),
+        }
+    }
+
     /// Fingerprint by which the request is recognized when it is sent again.
     pub(super) fn fingerprint(&self) -> Fingerprint {
         crash::fingerprint(self.organisation.as_ref(), &self.incoming.target(), &self.incoming.body)
@@ -411,7 +422,7 @@
     record: &mut Record,
 ) -> Result<()> {
     slot.record_failure(&reason);
-    crash::probe(context, slot.address, admitted.fingerprint()).await;
+    crash::probe(context, admitted.broken_at(slot)).await;
     record_failed_run(context, admitted, history, slot.upstream.clone(), reason, record)
 }
 
--- a/src/serve/jobs/run.rs
+++ b/src/serve/jobs/run.rs
@@ -12,7 +12,7 @@
 use crate::id::Organisation;
 use crate::route::Fingerprint;
 use crate::serve::context::{Context, Slot};
-use crate::serve::crash;
+use crate::serve::crash::{self, Broken};
 use crate::serve::event::Decoder;
 use crate::serve::origin::Origin;
 use crate::serve::protocol::Metadata;
@@ -210,7 +210,14 @@
 
     async fn report_failure(&self, reason: &str) -> End {
         self.slot.record_failure(reason);
-        crash::probe(self.context, self.slot.address, fingerprint(self.head, self.item)).await;
+        let broken = Broken {
+            request_id: self.item.id.clone(),
+            upstream: self.slot.upstream.clone(),
+            address: self.slot.address,
+            fingerprint: fingerprint(self.head, self.item),
+            shared_parts: Vec::new(),
+        };
+        crash::probe(self.context, broken).await;
         End::Broken
     }
 
--- a/src/serve/protocol.rs
+++ b/src/serve/protocol.rs
@@ -3,11 +3,13 @@
 //! The platform's adapter implements `Protocol`; the serving path depends only
 //! on the types of this module.
 
+use std::hash::Hasher;
 use std::net::SocketAddr;
 use std::rc::Rc;
 
 use bytes::Bytes;
 use http::{HeaderMap, Method, StatusCode};
+use siphasher::sip::SipHasher13;
 
 use super::jobs::{Item, ItemResult};
 use crate::error::Result;
@@ -53,6 +55,22 @@
     pub last_event: Option<u64>,
     /// Identifier of the caller's attempt that received the first event of the stream.
     pub resumes: Option<String>,
+    /// Parts of the prompt that other requests may share.
+    pub shared_parts: Vec<Part>,
+}
+
+key! {
+    /// A part of a prompt: the hash of its identifier.
+    pub struct Part(pub u64);
+}
+
+impl Part {
+    /// The part with the identifier `id`.
+    pub fn of(id: &str) -> Self {
+        let mut hasher = SipHasher13::new();
+        hasher.write(id.as_bytes());
+        Self(hasher.finish())
+    }
 }
 
 /// A request about a job.
--- a/src/serve/relay.rs
+++ b/src/serve/relay.rs
@@ -98,7 +98,7 @@
                     Err(_) => "the stream fell silent".to_owned(),
                 };
             self.slot.record_failure(&reason);
-            crash::probe(&self.context, self.slot.address, self.admitted.fingerprint()).await;
+            crash::probe(&self.context, self.admitted.broken_at(&self.slot)).await;
             if !self.resume(&reason).await {
                 return self.fail(&reason);
             }
