--- a/standins/src/platform/replica.rs
+++ b/standins/src/platform/replica.rs
@@ -56,9 +56,17 @@
     }
 }
 
+/// A part of prompts under which the replica crashes.
+#[derive(Clone, Debug)]
+struct CrashingPart {
+    id: String,
+    down_for: Duration,
+}
+
 #[derive(Debug, Default)]
 struct State {
     down: bool,
+    crashing_part: Option<CrashingPart>,
     behaviours: VecDeque<Behaviour>,
     requests: Vec<Request>,
 }
@@ -81,6 +89,12 @@
     let listener = TcpListener::bind(("127.0.0.1", 0))?;
     let state = Arc::<Mutex<State>>::default();
     let replica = Replica { address: listener.local_addr()?, state: state.clone() };
+    accept(listener, state, pause);
+    Ok(replica)
+}
+
+/// Serves connections on a thread of its own until the replica is down.
+fn accept(listener: TcpListener, state: Arc<Mutex<State>>, pause: Duration) {
     thread::spawn(move || {
         for stream in listener.incoming().flatten() {
             if state.lock().down {
@@ -91,7 +105,26 @@
             thread::spawn(move || drop(serve(stream, &state, pause)));
         }
     });
-    Ok(replica)
+}
+
+/// Starts the replica again at its address once it has been down for a while.
+fn restart_after(
+    down_for: Duration,
+    address: SocketAddr,
+    state: Arc<Mutex<State>>,
+    pause: Duration,
+) {
+    thread::spawn(move || {
+        thread::sleep(down_for);
+        let listener = loop {
+            match TcpListener::bind(address) {
+                Ok(listener) => break listener,
+                Err(_) => thread::sleep(Duration::from_millis(10)),
+            }
+        };
+        state.lock().down = false;
+        accept(listener, state, pause);
+    });
 }
 
 impl Replica {
@@ -100,6 +133,12 @@
         self.state.lock().behaviours.extend(behaviours);
     }
 
+    /// Makes each request whose prompt has the part `id`, but not as its last, crash the
+    /// replica, which is back after `down_for`.
+    pub fn crash_on(&self, id: &str, down_for: Duration) {
+        self.state.lock().crashing_part = Some(CrashingPart { id: id.to_owned(), down_for });
+    }
+
     /// Drops the queued behaviours, so that the next requests are completed.
     pub fn clear(&self) {
         self.state.lock().behaviours.clear();
@@ -111,31 +150,46 @@
     }
 }
 
-fn serve(stream: TcpStream, state: &Mutex<State>, pause: Duration) -> io::Result<()> {
+impl CrashingPart {
+    fn is_in(&self, request: &Request) -> bool {
+        let prompt = request.header("parsleybeam-prompt-prefix").unwrap_or_default();
+        let shared = prompt.rsplit(',').skip(1);
+        shared.into_iter().any(|part| part.split(':').next() == Some(self.id.as_str()))
+    }
+}
+
+fn serve(stream: TcpStream, state: &Arc<Mutex<State>>, pause: Duration) -> io::Result<()> {
     stream.set_nodelay(true)?;
     let mut reader = BufReader::new(stream.try_clone()?);
     let mut writer = stream;
     while let Some(request) = read(&mut reader)? {
-        let behaviour = {
+        let (behaviour, down_for) = {
             let mut state = state.lock();
             if state.down {
                 return Ok(());
             }
-            let behaviour = state.behaviours.pop_front().unwrap_or(Behaviour::Complete);
+            let crashing = state.crashing_part.clone().filter(|part| part.is_in(&request));
+            let behaviour = match crashing {
+                Some(_) => Behaviour::Crash,
+                None => state.behaviours.pop_front().unwrap_or(Behaviour::Complete),
+            };
             state
                 .requests
                 .push(Request { executed: behaviour != Behaviour::NotExecuted, ..request.clone() });
             state.down = behaviour == Behaviour::Crash;
-            behaviour
+            (behaviour, crashing.map(|part| part.down_for))
         };
         if behaviour == Behaviour::Crash {
             // The first connection unblocks `accept`, after which the listener thread exits.
             while TcpStream::connect(writer.local_addr()?).is_ok() {
                 thread::sleep(Duration::from_millis(1));
             }
+            if let Some(down_for) = down_for {
+                restart_after(down_for, writer.local_addr()?, state.clone(), pause);
+            }
             return Ok(());
         }
-        if !respond(&mut writer, &request, behaviour, pause)? {
+        if !respond(&mut writer, &request, behaviour, state, pause)? {
             return Ok(());
         }
     }
@@ -158,6 +212,7 @@
     out: &mut TcpStream,
     request: &Request,
     behaviour: Behaviour,
+    state: &Mutex<State>,
     pause: Duration,
 ) -> io::Result<bool> {
     let request_id = request.header("parsleybeam-request-id").unwrap_or_default();
@@ -199,6 +254,10 @@
             _ => {}
         }
         thread::sleep(pause);
+        if state.lock().down {
+            // A crash breaks off all that the replica runs.
+            return Ok(false);
+        }
         chunk(out, &format!("id: {id}\ndata: event {id}\n\n"))?;
         if behaviour == Behaviour::DuplicateEvent && sent == 1 {
             chunk(out, &format!("id: {id}\ndata: event {id}\n\n"))?;
