Hold off requests with a prompt part that crashes upstreams

Cause: the quarantine knew whole requests only; requests with the part were no two alike, so each was new to it. Sound requests that were merely at a crashed upstream counted as suspects too. Class of fault: blame was tied to an identity narrower than the cause, and evidence of other requests was neither shared nor weighed. Now crashes of upstreams are events with all requests that were in flight on any VM. A part is held off once it explains enough crashes and no answer with it was completed; completed answers are reported to all VMs and end it at once. Crashes so explained no longer count against single requests. Held parts and quarantined requests pass to VMs that start, so a rolling restart doesn't forget them. Items neither accuse parts nor are held off for them. Refusals come before the organisation's rate is charged and tell when the next trial is.

--- a/src/event/catalogue.rs
+++ b/src/event/catalogue.rs
@@ -67,6 +67,8 @@
     506 UpstreamAdded Info "upstream added";
     507 UpstreamRemoved Info "upstream removed";
     508 UpstreamFailed Warning "upstream failed; temporarily excluded from selection";
+    509 PartHeldOff Warning "requests with a part of a prompt held off: upstreams crashed under it";
+    510 PartCleared Info "part of a prompt no longer held off: an answer with it was completed";
 
     601 SharesMoved Info "share table adopted";
 
--- a/src/serve/context.rs
+++ b/src/serve/context.rs
@@ -17,7 +17,7 @@
 use super::member::{self, Member};
 use super::origin::{History, Origin, Origins};
 use super::place::Contender;
-use super::protocol::Protocol;
+use super::protocol::{Part, Protocol};
 use super::rate::{Limiter, Tolerance};
 use super::store::Store;
 use super::upstream::{Key, Table};
@@ -73,7 +73,9 @@
     pub contenders: RefCell<Vec<Contender>>,
     /// Requests suspected of having crashed upstreams.
     pub crashes: RefCell<Crashes>,
-    /// Notified when this VM has observed a crash.
+    /// Parts of prompts that this VM found sound, to be reported to the others.
+    pub parts_completed: RefCell<Vec<Part>>,
+    /// Notified when this VM has something new to report about crashes.
     pub crash_seen: Notify,
     /// Versions of the services' upstreams of late.
     pub versions: RefCell<History>,
@@ -121,6 +123,7 @@
             items_in_time: Cell::new(0),
             contenders: RefCell::default(),
             crashes: RefCell::default(),
+            parts_completed: RefCell::default(),
             crash_seen: Notify::new(),
             versions: RefCell::default(),
             origins: RefCell::default(),
@@ -182,6 +185,7 @@
             answered: Cell::new(false),
             upstream: entry.registration.upstream.clone(),
             origin: Origin::of(&entry.registration),
+            started_unix_ms: entry.registration.started_unix_ms,
             address: entry.registration.address,
             context: self.clone(),
         };
@@ -208,6 +212,8 @@
     pub upstream: Upstream,
     /// Service and version of the upstream when the slot was taken.
     pub origin: Origin,
+    /// Start time of the upstream's process, as a Unix time in milliseconds.
+    pub started_unix_ms: u64,
     /// Address of the upstream.
     pub address: SocketAddr,
     kind: Use,
--- a/src/serve/crash/mod.rs
+++ b/src/serve/crash/mod.rs
@@ -1,21 +1,33 @@
 //! Quarantine of requests that crash the upstreams that run them.
 //!
 //! When a response breaks off and its upstream then accepts no connection, the
-//! request is suspected of having crashed it. Each VM repeats its observations
-//! to the others for a while, since datagrams get lost and VMs restart. A
-//! request suspected of `LIMIT` crashes is quarantined and no longer sent.
-//! Items of jobs, which are stored for long, are retried a few times after a
-//! pause.
+//! upstream is taken to have crashed, and each request that was in flight there
+//! is suspected. All VMs share what they observe. Two things end the suspicion
+//! or confirm it: a request that is suspected of `LIMIT` crashes is quarantined
+//! (`requests`), and so are all requests with a part of their prompts that
+//! explains many crashes (`parts`); crashes so explained no longer count against
+//! the requests that were merely there. Items of jobs, which are stored for
+//! long, are retried after a pause and never held off for a part.
+
+mod parts;
+mod report;
+mod requests;
 
 use std::collections::{BTreeSet, HashMap};
+use std::hash::Hasher;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
-use prost::Message;
+use siphasher::sip::SipHasher13;
 use tokio::net::TcpStream;
 
+pub use parts::{Crash, Held, Parts, Reporter, Run};
+pub use report::{CompletedRow, CrashRow, HeldRow, Report};
+pub use requests::{LIMIT, Requests};
+
 use super::context::Context;
+use super::member::owner;
 use super::protocol::Part;
 use crate::clock::Time;
 use crate::emit;
@@ -23,20 +35,12 @@
 use crate::id::{Organisation, Upstream};
 use crate::route::Fingerprint;
 
-/// Suspected crashes after which a request is quarantined.
-pub const LIMIT: usize = 3;
-/// Time for which a request is remembered after its last crash.
-const RETENTION: Duration = Duration::from_secs(600);
-/// Pause before a quarantined item is retried.
-const RETRY_PAUSE: Duration = Duration::from_secs(10);
-/// Maximum number of retries of a quarantined item.
-const MAX_RETRIES: u32 = 2;
 /// Connect timeout of the probe whether an upstream is still running.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(300);
-/// Number of remembered requests at which those below `LIMIT` are dropped.
-const MAX_REQUESTS: usize = 4_096;
-/// Maximum number of crashes in one message.
+/// Maximum number of own crashes, and of crashes known from others, in one report.
 const MAX_ROWS: usize = 64;
+/// Time for which a report of a completed answer needs no repetition.
+const COMPLETED_REPEAT: Duration = Duration::from_secs(5);
 
 /// A run that its upstream broke off.
 #[derive(Clone, Debug)]
@@ -45,6 +49,8 @@
     pub request_id: String,
     /// The upstream.
     pub upstream: Upstream,
+    /// Start time of the upstream's process, as a Unix time in milliseconds.
+    pub started_unix_ms: u64,
     /// Address of the upstream.
     pub address: SocketAddr,
     /// Fingerprint of the request or item.
@@ -53,105 +59,130 @@
     pub shared_parts: Vec<Part>,
 }
 
-/// A suspected crash, as VMs report it to each other.
-#[derive(Clone, PartialEq, Message)]
-pub struct Crash {
-    /// Fingerprint of the request, 16 bytes in big-endian order.
-    #[prost(bytes = "vec", tag = "1")]
-    pub fingerprint: Vec<u8>,
-    /// Random number that identifies the run that ended in the crash.
-    #[prost(fixed64, tag = "2")]
-    pub run: u64,
-}
-
-#[derive(Debug, Default)]
-struct Suspect {
-    runs: BTreeSet<u64>,
-    last: Time,
-    retries: u32,
-}
-
-impl Suspect {
-    fn quarantined(&self) -> bool {
-        self.runs.len() >= LIMIT
+impl Broken {
+    /// The run, if the upstream crashed.
+    fn run(&self) -> Run {
+        let mut hasher = SipHasher13::new();
+        hasher.write(self.upstream.as_str().as_bytes());
+        hasher.write_u64(self.started_unix_ms);
+        Run {
+            crash: Crash(hasher.finish()),
+            fingerprint: self.fingerprint,
+            shared_parts: self.shared_parts.clone(),
+        }
     }
 }
 
-/// Requests suspected of having crashed upstreams.
+/// What this VM knows about crashes of upstreams.
 #[derive(Debug, Default)]
 pub struct Crashes {
-    suspects: HashMap<Fingerprint, Suspect>,
+    /// Suspected requests.
+    pub requests: Requests,
+    /// Suspected parts of prompts.
+    pub parts: Parts,
     /// Crashes that this VM observed itself, oldest first.
-    own: Vec<(Fingerprint, u64, Time)>,
+    own: Vec<(Run, Time)>,
+    /// When some VM last reported answers completed with a part.
+    completed_reported: HashMap<Part, Time>,
+}
+
+/// What changed by new knowledge.
+#[derive(Debug, Default, PartialEq, Eq)]
+pub struct Change {
+    /// The request that is quarantined from now on.
+    pub quarantined: Option<Fingerprint>,
+    /// Parts that are held off from now on.
+    pub held: Vec<Part>,
 }
 
 impl Crashes {
-    /// Whether a request is quarantined.
-    pub fn is_quarantined(&self, fingerprint: Fingerprint) -> bool {
-        self.suspects.get(&fingerprint).is_some_and(Suspect::quarantined)
+    /// Whether nothing is suspected, so that requests need no check.
+    pub fn is_empty(&self) -> bool {
+        self.requests.is_empty() && !self.parts.is_active()
     }
 
-    /// Whether a request is suspected of a crash.
-    pub fn is_suspected(&self, fingerprint: Fingerprint) -> bool {
-        self.suspects.contains_key(&fingerprint)
+    /// Records that a request was in flight at a crash.
+    pub fn record(&mut self, run: Run, reporter: Reporter, at: Time, now: Time) -> Change {
+        let (fingerprint, crash) = (run.fingerprint, run.crash);
+        self.parts.record_crash(run, reporter, at);
+        let held = self.decide(now);
+        let counts = !self.parts.explains(crash);
+        let is_quarantined = counts && self.requests.record(fingerprint, crash, at, now);
+        Change { quarantined: is_quarantined.then_some(fingerprint), held }
     }
 
-    /// Whether no request is suspected; callers then need no fingerprint.
-    pub fn is_empty(&self) -> bool {
-        self.suspects.is_empty()
+    /// Decides about parts by the evidence so far; those held off from now on.
+    pub fn decide(&mut self, now: Time) -> Vec<Part> {
+        let held = self.parts.decide(now);
+        if !held.is_empty() {
+            let parts = &self.parts;
+            self.requests.forgive(|crash| parts.explains(crash));
+        }
+        held
     }
 
-    /// Whether an item may be sent. Counts a retry if the item is quarantined.
-    pub fn allow_retry(&mut self, fingerprint: Fingerprint, now: Time) -> bool {
-        let Some(suspect) = self.suspects.get_mut(&fingerprint) else { return true };
-        if !suspect.quarantined() {
-            return true;
-        }
-        let pause_over = suspect.last.after(RETRY_PAUSE).passed(now);
-        if !pause_over || suspect.retries >= MAX_RETRIES {
-            return false;
+    /// Records a crash that this VM observed itself.
+    fn record_own(&mut self, run: Run, reporter: Reporter, now: Time) -> Change {
+        self.own.retain(|(_, at)| !at.after(requests::RETENTION).passed(now));
+        if self.own.len() >= MAX_ROWS {
+            self.own.remove(0);
         }
-        suspect.retries += 1;
-        suspect.last = now;
-        true
-    }
-
-    /// Records a crash; true if it is the one that quarantines the request.
-    pub fn record(&mut self, fingerprint: Fingerprint, run: u64, now: Time) -> bool {
-        self.expire(now);
-        let suspect = self.suspects.entry(fingerprint).or_default();
-        let before = suspect.quarantined();
-        if suspect.runs.insert(run) {
-            suspect.last = now;
+        self.own.push((run.clone(), now));
+        self.record(run, reporter, now, now)
+    }
+
+    /// What this VM reports to the others; `all` includes what it knows from them and
+    /// holds off.
+    pub fn report(&self, all: bool, now: Time) -> Report {
+        let recent: Vec<&(Run, Time)> =
+            self.own.iter().filter(|(_, at)| !at.after(requests::RETENTION).passed(now)).collect();
+        let parts: BTreeSet<Part> =
+            recent.iter().flat_map(|(run, _)| run.shared_parts.iter().copied()).collect();
+        let completed = parts.into_iter().filter_map(|part| {
+            let at = self.parts.completed_at(part)?;
+            Some(CompletedRow::new(part, at, now))
+        });
+        let held = self.parts.held().filter(|_| all);
+        let quarantined = self.requests.quarantined().filter(|_| all).take(MAX_ROWS);
+        let own = recent.iter().map(|(run, at)| CrashRow::new(run, *at, now));
+        let others = quarantined.map(|(run, at)| CrashRow::new(&run, at, now));
+        Report {
+            completed: completed.collect(),
+            crashes: own.chain(others).collect(),
+            held: held.map(|(part, held)| HeldRow::new(part, held, now)).collect(),
         }
-        suspect.quarantined() && !before
     }
 
-    /// Records a crash that this VM observed itself.
-    fn record_own(&mut self, fingerprint: Fingerprint, run: u64, now: Time) -> bool {
-        self.own.push((fingerprint, run, now));
-        self.record(fingerprint, run, now)
-    }
-
-    /// The latest crashes that this VM observed itself.
-    pub fn own(&self, now: Time) -> Vec<Crash> {
-        let recent = self.own.iter().rev().take(MAX_ROWS);
-        let recent = recent.filter(|(_, _, at)| !at.after(RETENTION).passed(now));
-        recent
-            .map(|(fingerprint, run, _)| Crash {
-                fingerprint: fingerprint.0.to_be_bytes().into(),
-                run: *run,
-            })
-            .collect()
-    }
-
-    fn expire(&mut self, now: Time) {
-        self.own.retain(|(_, _, at)| !at.after(RETENTION).passed(now));
-        self.suspects.retain(|_, suspect| !suspect.last.after(RETENTION).passed(now));
-        if self.suspects.len() < MAX_REQUESTS {
-            return;
+    /// Parts of a report that this VM knows to be sound by answers after the crashes, and
+    /// that no VM has spoken for lately.
+    fn unreported(&mut self, report: &Report, now: Time) -> Vec<Part> {
+        let rows = report.crashes.iter();
+        let crashed = rows.flat_map(|row| row.shared_parts.iter().map(|part| (*part, row.age_ms)));
+        let held = report.held.iter().map(|row| (row.part, row.age_ms));
+        let doubted: BTreeSet<(u64, u32)> = crashed.chain(held).collect();
+        let mut parts = BTreeSet::new();
+        for (part, age_ms) in doubted {
+            let (part, crashed_at) = (Part(part), report::time_at(age_ms, now));
+            let is_sound = self.parts.completed_at(part).is_some_and(|at| at > crashed_at);
+            let last = self.completed_reported.get(&part);
+            let is_reported = last.is_some_and(|last| !last.after(COMPLETED_REPEAT).passed(now));
+            if is_sound && !is_reported {
+                parts.insert(part);
+            }
         }
-        self.suspects.retain(|_, suspect| suspect.quarantined());
+        parts.into_iter().collect()
+    }
+
+    /// Report that answers were completed with `parts`.
+    fn completed_report(&mut self, parts: &[Part], now: Time) -> Report {
+        let rows = parts.iter().filter_map(|part| {
+            let at = self.parts.completed_at(*part)?;
+            Some(CompletedRow::new(*part, at, now))
+        });
+        let completed: Vec<CompletedRow> = rows.collect();
+        self.completed_reported.retain(|_, last| !last.after(COMPLETED_REPEAT).passed(now));
+        self.completed_reported.extend(parts.iter().map(|part| (*part, now)));
+        Report { completed, ..Report::default() }
     }
 }
 
@@ -165,44 +196,170 @@
 /// once unless the request is already suspected: then the result of the probe
 /// decides whether it may be sent again.
 pub async fn probe(context: &Rc<Context>, broken: Broken) {
-    let fingerprint = broken.fingerprint;
+    let is_suspected = {
+        let crashes = context.crashes.borrow();
+        crashes.requests.is_suspected(broken.fingerprint)
+            || broken.shared_parts.iter().any(|part| crashes.parts.is_suspected(*part))
+    };
     let probing = probe_upstream(context.clone(), broken);
-    if context.crashes.borrow().is_suspected(fingerprint) {
+    if is_suspected {
         return probing.await;
     }
     actix_rt::spawn(probing);
 }
 
 async fn probe_upstream(context: Rc<Context>, broken: Broken) {
-    let Broken { request_id, upstream, address, fingerprint, shared_parts } = broken;
-    let connecting = TcpStream::connect(address);
+    let connecting = TcpStream::connect(broken.address);
     if let Ok(Ok(_)) = tokio::time::timeout(PROBE_TIMEOUT, connecting).await {
         return;
     }
+    let run = broken.run();
     metrics::counter!("serve_crashes_total").increment(1);
-    let parts: Vec<String> = shared_parts.iter().map(|part| format!("{:016x}", part.0)).collect();
-    emit!(context.log, Event::UpstreamDied, "request" => request_id,
-        "upstream" => upstream.as_str(), "fingerprint" => format!("{:032x}", fingerprint.0),
-        "shared_parts" => parts.join(","));
-    let run = context.random();
-    if context.crashes.borrow_mut().record_own(fingerprint, run, context.now()) {
-        log_quarantined(&context, fingerprint);
+    let parts: Vec<String> = run.shared_parts.iter().map(|part| part.to_string()).collect();
+    emit!(context.log, Event::UpstreamDied, "request" => broken.request_id,
+        "upstream" => broken.upstream.as_str(),
+        "fingerprint" => format!("{:032x}", run.fingerprint.0),
+        "crash" => format!("{:016x}", run.crash.0), "shared_parts" => parts.join(","));
+    let (now, reporter) = (context.now(), reporter(context.vm().as_str()));
+    let change = context.crashes.borrow_mut().record_own(run, reporter, now);
+    log_change(&context, change);
+    context.crash_seen.notify_one();
+}
+
+/// Why a request is refused.
+pub enum Refusal {
+    /// It crashed upstreams itself.
+    Request,
+    /// A part of its prompt did.
+    Part(Part, Held),
+}
+
+impl Refusal {
+    /// Value for metrics.
+    pub fn as_str(&self) -> &'static str {
+        match self {
+            Refusal::Request => "request",
+            Refusal::Part(..) => "part",
+        }
+    }
+}
+
+/// Whether a request must not be sent; in a trial only by what it did itself.
+pub fn check<F>(
+    context: &Context,
+    fingerprint: F,
+    shared_parts: &[Part],
+    in_trial: bool,
+) -> Option<Refusal>
+where
+    F: FnOnce() -> Fingerprint,
+{
+    if context.crashes.borrow().is_empty() {
+        return None;
     }
+    if context.crashes.borrow().parts.is_settling() {
+        decide(context);
+    }
+    let crashes = context.crashes.borrow();
+    let held = crashes.parts.held_part(shared_parts).filter(|_| !in_trial);
+    if let Some((part, held)) = held {
+        return Some(Refusal::Part(part, held));
+    }
+    let is_quarantined =
+        !crashes.requests.is_empty() && crashes.requests.is_quarantined(fingerprint());
+    is_quarantined.then_some(Refusal::Request)
+}
+
+/// Decides about parts by what is known so far.
+pub fn decide(context: &Context) {
+    let held = context.crashes.borrow_mut().decide(context.now());
+    log_change(context, Change { held, ..Change::default() });
+}
+
+/// Whether a request with a part that is held off may be sent as a trial: the VM that
+/// owns the part lets one through now and then.
+pub fn begin_trial(context: &Context, part: Part) -> bool {
+    let owns_part = {
+        let view = context.view.borrow();
+        owner(&view.members, &part.to_string()).is_some_and(|member| &member.vm == context.vm())
+    };
+    owns_part && context.crashes.borrow_mut().parts.begin_trial(part, context.now())
+}
+
+/// Records that an answer to a request with `shared_parts` was completed.
+pub fn record_completed(context: &Context, shared_parts: &[Part]) {
+    let now = context.now();
+    let cleared = context.crashes.borrow_mut().parts.record_completed(shared_parts, now);
+    if cleared.is_empty() {
+        return;
+    }
+    log_cleared(context, &cleared);
+    context.parts_completed.borrow_mut().extend(cleared);
     context.crash_seen.notify_one();
 }
 
-/// Merges crashes that another VM observed.
-pub fn merge(context: &Context, crashes: &[Crash]) {
-    for crash in crashes {
-        let Ok(fingerprint) = <[u8; 16]>::try_from(crash.fingerprint.as_slice()) else { continue };
-        let fingerprint = Fingerprint(u128::from_be_bytes(fingerprint));
-        if context.crashes.borrow_mut().record(fingerprint, crash.run, context.now()) {
-            log_quarantined(context, fingerprint);
+/// Merges another VM's report; parts of it that this VM can speak for.
+pub fn merge(context: &Context, vm: &str, report: &Report) -> Vec<Part> {
+    let (now, reporter) = (context.now(), reporter(vm));
+    for row in &report.completed {
+        let (part, at) = (Part(row.part), report::time_at(row.age_ms, now));
+        let mut crashes = context.crashes.borrow_mut();
+        crashes.completed_reported.insert(part, now);
+        let cleared = crashes.parts.record_completed(&[part], at);
+        drop(crashes);
+        log_cleared(context, &cleared);
+    }
+    for row in &report.held {
+        let at = report::time_at(row.age_ms, now);
+        let is_new = context.crashes.borrow_mut().parts.adopt(Part(row.part), at, row.trials);
+        if is_new {
+            log_change(context, Change { held: vec![Part(row.part)], ..Change::default() });
         }
     }
+    for row in &report.crashes {
+        let Some(run) = row.run() else { continue };
+        let at = report::time_at(row.age_ms, now);
+        let change = context.crashes.borrow_mut().record(run, reporter, at, now);
+        log_change(context, change);
+    }
+    context.crashes.borrow_mut().unreported(report, now)
+}
+
+/// Report that answers were completed with those of `parts` that no VM has spoken for
+/// meanwhile; none if nothing is left to say.
+pub fn completed_report(context: &Context, parts: &[Part]) -> Option<Report> {
+    let now = context.now();
+    let mut crashes = context.crashes.borrow_mut();
+    let is_reported = |part: &Part| {
+        let last = crashes.completed_reported.get(part);
+        last.is_some_and(|last| !last.after(COMPLETED_REPEAT).passed(now))
+    };
+    let parts: Vec<Part> = parts.iter().copied().filter(|part| !is_reported(part)).collect();
+    (!parts.is_empty()).then(|| crashes.completed_report(&parts, now))
+}
+
+fn reporter(vm: &str) -> Reporter {
+    let mut hasher = SipHasher13::new();
+    hasher.write(vm.as_bytes());
+    Reporter(hasher.finish())
+}
+
+fn log_change(context: &Context, change: Change) {
+    if let Some(fingerprint) = change.quarantined {
+        emit!(context.log, Event::RequestQuarantined,
+            "fingerprint" => format!("{:032x}", fingerprint.0), "crashes" => LIMIT);
+    }
+    for part in change.held {
+        let crashes = context.crashes.borrow();
+        let trial_at = crashes.parts.held_part(&[part]).map(|(_, held)| held.trial_at);
+        let trial_ms = trial_at.map_or(0, |at| context.now().until(at).as_millis() as u64);
+        emit!(context.log, Event::PartHeldOff, "part" => part.to_string(),
+            "trial_in_ms" => trial_ms);
+    }
 }
 
-fn log_quarantined(context: &Context, fingerprint: Fingerprint) {
-    emit!(context.log, Event::RequestQuarantined,
-        "fingerprint" => format!("{:032x}", fingerprint.0), "crashes" => LIMIT);
+fn log_cleared(context: &Context, parts: &[Part]) {
+    for part in parts {
+        emit!(context.log, Event::PartCleared, "part" => part.to_string());
+    }
 }
--- /dev/null
+++ b/src/serve/crash/report.rs
@@ -0,0 +1,113 @@
+//! What VMs report to each other about crashes.
+//!
+//! Each VM repeats its own observations for a while, since datagrams get lost
+//! and VMs restart. Parts that are held off also go to one random VM at a time,
+//! and to each VM that starts, so that they outlast the VMs that saw the crashes.
+
+use prost::Message;
+
+use super::parts::{Crash, Held, Run};
+use crate::clock::Time;
+use crate::route::Fingerprint;
+use crate::serve::protocol::Part;
+
+/// A request that was in flight at an upstream when it crashed.
+#[derive(Clone, PartialEq, Message)]
+pub struct CrashRow {
+    /// Fingerprint of the request, 16 bytes in big-endian order.
+    #[prost(bytes = "vec", tag = "1")]
+    pub fingerprint: Vec<u8>,
+    /// Number that identifies the crash.
+    #[prost(fixed64, tag = "2")]
+    pub crash: u64,
+    /// Parts of the request's prompt that other requests may share, in order.
+    #[prost(fixed64, repeated, tag = "3")]
+    pub shared_parts: Vec<u64>,
+    /// Time since the crash, in milliseconds.
+    #[prost(uint32, tag = "4")]
+    pub age_ms: u32,
+}
+
+impl CrashRow {
+    /// The row for a run that ended in a crash at `at`.
+    pub fn new(run: &Run, at: Time, now: Time) -> Self {
+        Self {
+            fingerprint: run.fingerprint.0.to_be_bytes().into(),
+            crash: run.crash.0,
+            shared_parts: run.shared_parts.iter().map(|part| part.0).collect(),
+            age_ms: age_ms(at, now),
+        }
+    }
+
+    /// The run; none if the fingerprint has another length.
+    pub fn run(&self) -> Option<Run> {
+        let fingerprint = <[u8; 16]>::try_from(self.fingerprint.as_slice()).ok()?;
+        Some(Run {
+            crash: Crash(self.crash),
+            fingerprint: Fingerprint(u128::from_be_bytes(fingerprint)),
+            shared_parts: self.shared_parts.iter().map(|part| Part(*part)).collect(),
+        })
+    }
+}
+
+/// A part with which an answer was completed.
+#[derive(Clone, Copy, PartialEq, Message)]
+pub struct CompletedRow {
+    /// The part.
+    #[prost(fixed64, tag = "1")]
+    pub part: u64,
+    /// Time since the answer, in milliseconds.
+    #[prost(uint32, tag = "2")]
+    pub age_ms: u32,
+}
+
+impl CompletedRow {
+    /// The row for an answer completed at `at`.
+    pub fn new(part: Part, at: Time, now: Time) -> Self {
+        Self { part: part.0, age_ms: age_ms(at, now) }
+    }
+}
+
+/// A part that is held off.
+#[derive(Clone, Copy, PartialEq, Message)]
+pub struct HeldRow {
+    /// The part.
+    #[prost(fixed64, tag = "1")]
+    pub part: u64,
+    /// Time since the last crash under it, in milliseconds.
+    #[prost(uint32, tag = "2")]
+    pub age_ms: u32,
+    /// Number of requests let through so far.
+    #[prost(uint32, tag = "3")]
+    pub trials: u32,
+}
+
+impl HeldRow {
+    /// The row for a part that is held off.
+    pub fn new(part: Part, held: Held, now: Time) -> Self {
+        Self { part: part.0, age_ms: age_ms(held.last_crash, now), trials: held.trials }
+    }
+}
+
+/// Report about crashes.
+#[derive(Clone, PartialEq, Message)]
+pub struct Report {
+    /// Crashes that the sender observed.
+    #[prost(message, repeated, tag = "1")]
+    pub crashes: Vec<CrashRow>,
+    /// Parts of these with which answers were completed.
+    #[prost(message, repeated, tag = "2")]
+    pub completed: Vec<CompletedRow>,
+    /// Parts that the sender holds off.
+    #[prost(message, repeated, tag = "3")]
+    pub held: Vec<HeldRow>,
+}
+
+/// The time `age_ms` milliseconds before `now`.
+pub fn time_at(age_ms: u32, now: Time) -> Time {
+    Time(now.0.saturating_sub(Time::from_millis(age_ms.into()).0))
+}
+
+fn age_ms(at: Time, now: Time) -> u32 {
+    u32::try_from(at.until(now).as_millis()).unwrap_or(u32::MAX)
+}
--- a/src/serve/datagram.rs
+++ b/src/serve/datagram.rs
@@ -6,7 +6,7 @@
 
 use prost::{Message, Oneof};
 
-use super::crash::Crash;
+use super::crash::Report;
 use super::jobs::Pending;
 use super::origin::Record;
 
@@ -42,9 +42,9 @@
     /// Announces a job that the sender has accepted.
     #[prost(message, tag = "7")]
     Opened(Opened),
-    /// Crashes that the sender observed.
+    /// What the sender knows about crashes.
     #[prost(message, tag = "8")]
-    Crashes(Crashes),
+    Crashes(Report),
     /// Origins of streams.
     #[prost(message, tag = "9")]
     Origins(Origins),
@@ -143,14 +143,6 @@
     pub pending: Option<Pending>,
 }
 
-/// Requests suspected of having crashed upstreams.
-#[derive(Clone, PartialEq, Message)]
-pub struct Crashes {
-    /// One row per crash.
-    #[prost(message, repeated, tag = "1")]
-    pub crashes: Vec<Crash>,
-}
-
 /// Origins of streams, for VMs that keep copies.
 #[derive(Clone, PartialEq, Message)]
 pub struct Origins {
--- a/src/serve/exchange.rs
+++ b/src/serve/exchange.rs
@@ -16,7 +16,7 @@
 
 use super::configuration::{Configuration, Kind as RouteKind, Route, Tenant};
 use super::context::{Context, Slot, Use};
-use super::crash::{self, Broken};
+use super::crash::{self, Broken, Refusal};
 use super::origin::{Origin, Stream};
 use super::peers::Peers;
 use super::place::{self, Choice, Criteria, Room};
@@ -51,6 +51,8 @@
 /// `Retry-After` for callers that should use another VM.
 const OTHER_VM_RETRY: Duration = Duration::from_millis(200);
 
+/// Minimum `Retry-After` of requests with a part of their prompts that is held off.
+const MIN_PART_RETRY: Duration = Duration::from_secs(10);
 /// `Retry-After` of quarantined requests.
 const QUARANTINED_RETRY: Duration = Duration::from_secs(60);
 
@@ -89,6 +91,8 @@
     pub(super) service: Service,
     /// The only version that may run it: that which began its stream.
     pub(super) version: Option<Version>,
+    /// Whether it is let through although a part of its prompt is held off.
+    pub(super) trial: bool,
     pub(super) organisation: Option<Organisation>,
     pub(super) authenticated: bool,
     pub(super) deadline: Time,
@@ -109,6 +113,7 @@
         Broken {
             request_id: self.head.request_id.clone().unwrap_or_default(),
             upstream: slot.upstream.clone(),
+            started_unix_ms: slot.started_unix_ms,
             address: slot.address,
             fingerprint: self.fingerprint(),
             shared_parts: self.head.shared_parts.clone(),
@@ -212,6 +217,7 @@
     if route.kind == RouteKind::Batch {
         return Err(Error::new(Kind::Malformed, "a batch route takes jobs only"));
     }
+    let trial = check_parts(context, &head)?;
     let resumed = resumed_origin(context, peers, &head, route).await?;
     let version = resumed.as_ref().map(|origin| origin.version.clone());
     let service = match resumed {
@@ -233,6 +239,7 @@
         started_at,
         service,
         version,
+        trial,
         route: route.clone(),
         incoming,
         head,
@@ -407,6 +414,7 @@
     }
     if status.is_success() {
         slot.record_first_event();
+        crash::record_completed(context, &admitted.head.shared_parts);
     }
     record.conclude("answered");
     Ok(Some(Reply { status, headers, body: Body::Whole(body) }))
@@ -522,15 +530,42 @@
 
 /// Refuses a quarantined request.
 fn check_quarantine(context: &Context, admitted: &Admitted, history: &History) -> Result<()> {
-    let crashes = context.crashes.borrow();
-    if crashes.is_empty() || !crashes.is_quarantined(admitted.fingerprint()) {
-        return Ok(());
+    let fingerprint = || admitted.fingerprint();
+    let in_trial = admitted.trial && history.runs == 0;
+    let parts = &admitted.head.shared_parts;
+    match crash::check(context, fingerprint, parts, in_trial) {
+        Some(refusal) => Err(quarantine_error(context, history, &refusal)),
+        None => Ok(()),
+    }
+}
+
+/// Refuses a request before it costs its organisation a token; whether it is let through
+/// as a trial although a part of its prompt is held off.
+fn check_parts(context: &Context, head: &Head) -> Result<bool> {
+    let held = context.crashes.borrow().parts.held_part(&head.shared_parts);
+    match held {
+        Some((part, held)) if !crash::begin_trial(context, part) => {
+            Err(quarantine_error(context, &History::default(), &Refusal::Part(part, held)))
+        }
+        held => Ok(held.is_some()),
     }
-    let detail = "upstreams that ran it crashed; it isn't sent any more";
+}
+
+fn quarantine_error(context: &Context, history: &History, refusal: &Refusal) -> Error {
+    metrics::counter!("serve_requests_held_off_total", "by" => refusal.as_str()).increment(1);
+    let (detail, wait) = match refusal {
+        Refusal::Request => {
+            ("upstreams that ran it crashed; it isn't sent any more".to_owned(), QUARANTINED_RETRY)
+        }
+        Refusal::Part(part, held) => {
+            let wait = context.now().until(held.trial_at).max(MIN_PART_RETRY);
+            (format!("upstreams that ran part {part} of its prompt crashed; it is held off"), wait)
+        }
+    };
     if history.runs > 0 {
-        return Err(Error::new(Kind::OutcomeUnknown, detail));
+        return Error::new(Kind::OutcomeUnknown, detail);
     }
-    Err(Error::new(Kind::NoUpstream, detail).retry_after(QUARANTINED_RETRY))
+    Error::new(Kind::NoUpstream, detail).retry_after(wait)
 }
 
 /// How long to wait for the response head.
--- a/src/serve/gauge.rs
+++ b/src/serve/gauge.rs
@@ -15,6 +15,7 @@
     gauge!("serve_members").set(view.members.len() as f64);
     gauge!("serve_jobs", "of" => "fleet").set(view.pending.len() as f64);
     drop(view);
+    gauge!("serve_parts_held_off").set(context.crashes.borrow().parts.held().count() as f64);
     let (mut usable, mut ejected, mut online, mut batch) = (0, 0, 0, 0);
     for (_, entry) in context.table.borrow().iter() {
         let counted = if entry.usable(now) { &mut usable } else { &mut ejected };
--- a/src/serve/jobs/run.rs
+++ b/src/serve/jobs/run.rs
@@ -103,7 +103,7 @@
 ) -> AttemptOutcome {
     let fingerprint = fingerprint(head, item);
     let now = context.now();
-    if !context.crashes.borrow_mut().allow_retry(fingerprint, now) {
+    if !context.crashes.borrow_mut().requests.allow_retry(fingerprint, now) {
         return AttemptOutcome::Held(progress);
     }
     let mut attempt = Attempt { context, slot, head, item, progress };
@@ -213,6 +213,7 @@
         let broken = Broken {
             request_id: self.item.id.clone(),
             upstream: self.slot.upstream.clone(),
+            started_unix_ms: self.slot.started_unix_ms,
             address: self.slot.address,
             fingerprint: fingerprint(self.head, self.item),
             shared_parts: Vec::new(),
--- a/src/serve/peers.rs
+++ b/src/serve/peers.rs
@@ -13,13 +13,12 @@
 use super::channel::Relays;
 use super::configuration::Tenant;
 use super::context::{Context, View};
-use super::crash;
-use super::datagram::{
-    Changed, Content, Crashes, Datagram, Grant, Load, Opened, Row, TokenRequest,
-};
+use super::crash::{self, Report};
+use super::datagram::{Changed, Content, Datagram, Grant, Load, Opened, Row, TokenRequest};
 use super::jobs::{Jobs, Pending};
 use super::member::{Member, owner};
 use super::place::Contender;
+use super::protocol::Part;
 use super::rate;
 use super::resume;
 use super::upstream::{self, PeerLoad};
@@ -38,6 +37,8 @@
 const LARGE_HEARTBEAT: Duration = Duration::from_millis(500);
 /// Interval at which crashes are reported again.
 const CRASH_REPEAT: Duration = Duration::from_millis(1_000);
+/// Maximum pause before a VM reports that a part of a prompt is sound.
+const MAX_REPORT_PAUSE: Duration = Duration::from_millis(60);
 /// Maximum number of members of a small fleet.
 const SMALL_FLEET: usize = 12;
 /// Time without a load report after which a peer's load isn't counted and its address
@@ -147,12 +148,55 @@
         loop {
             let seen = self.context.crash_seen.notified();
             let _ = tokio::time::timeout(CRASH_REPEAT, seen).await;
-            let crashes = self.context.crashes.borrow().own(self.context.now());
-            if crashes.is_empty() {
-                continue;
+            crash::decide(&self.context);
+            let cleared = self.context.parts_completed.take();
+            self.report_completed(&cleared);
+            let report = self.context.crashes.borrow().report(false, self.context.now());
+            if !report.crashes.is_empty() {
+                self.broadcast(Content::Crashes(report));
             }
-            self.broadcast(Content::Crashes(Crashes { crashes }));
+            self.gossip_crashes();
+        }
+    }
+
+    /// Sends what this VM knows about crashes to one random peer, if it holds off anything.
+    fn gossip_crashes(&self) {
+        let report = self.context.crashes.borrow().report(true, self.context.now());
+        let others = self.others();
+        if report.held.is_empty() || others.is_empty() {
+            return;
         }
+        let index = self.context.random() as usize % others.len();
+        self.send_to(Content::Crashes(report), others[index]);
+    }
+
+    /// Sends what this VM knows about crashes to a VM that has just started.
+    fn send_crashes(&self, address: SocketAddr) {
+        let report = self.context.crashes.borrow().report(true, self.context.now());
+        if report != Report::default() {
+            self.send_to(Content::Crashes(report), address);
+        }
+    }
+
+    /// Reports to all VMs that answers were completed with `parts`.
+    fn report_completed(&self, parts: &[Part]) {
+        if let Some(report) = crash::completed_report(&self.context, parts) {
+            self.broadcast(Content::Crashes(report));
+        }
+    }
+
+    fn handle_crashes(self: &Rc<Self>, vm: &str, report: &Report) {
+        let sound = crash::merge(&self.context, vm, report);
+        if sound.is_empty() {
+            return;
+        }
+        // One VM's report is enough, so each waits for a random time.
+        let pause = MAX_REPORT_PAUSE.mul_f64(self.context.random() as f64 / u64::MAX as f64);
+        let peers = self.clone();
+        actix_rt::spawn(async move {
+            tokio::time::sleep(pause).await;
+            peers.report_completed(&sound);
+        });
     }
 
     /// Sends one load report.
@@ -240,7 +284,7 @@
         let _ = self.socket.try_send_to(bytes, address);
     }
 
-    fn handle(&self, datagram: Datagram, from: SocketAddr, jobs: &Rc<Jobs>) {
+    fn handle(self: &Rc<Self>, datagram: Datagram, from: SocketAddr, jobs: &Rc<Jobs>) {
         match datagram.content {
             Some(Content::Load(load)) => {
                 self.record_load(Vm::from(datagram.vm), datagram.incarnation, from, load);
@@ -263,7 +307,7 @@
                 let Some(pending) = opened.pending else { return };
                 jobs.directory.borrow_mut().announce(&opened.job, pending, self.context.now());
             }
-            Some(Content::Crashes(report)) => crash::merge(&self.context, &report.crashes),
+            Some(Content::Crashes(report)) => self.handle_crashes(&datagram.vm, &report),
             Some(Content::Origins(report)) => {
                 let now = self.context.now();
                 self.context.origins.borrow_mut().merge(&report.records, now);
@@ -286,6 +330,9 @@
         {
             return;
         }
+        if states.get(&vm).is_none_or(|last| last.incarnation != incarnation) {
+            self.send_crashes(address);
+        }
         let (sequence, rows, serving) = (load.sequence, load.rows, load.serving);
         let before = states.get(&vm).and_then(|last| last.store_unreachable_since);
         let store_unreachable_since =
--- a/src/serve/protocol.rs
+++ b/src/serve/protocol.rs
@@ -61,6 +61,8 @@
 
 key! {
     /// A part of a prompt: the hash of its identifier.
+    #[derive(derive_more::Display)]
+    #[display("{_0:016x}")]
     pub struct Part(pub u64);
 }
 
--- a/src/serve/relay.rs
+++ b/src/serve/relay.rs
@@ -89,6 +89,8 @@
                     Ok(Ok(None)) => match self.decoder.finish() {
                         Ok(()) => {
                             self.finished = true;
+                            let parts = &self.admitted.head.shared_parts;
+                            crash::record_completed(&self.context, parts);
                             self.record.conclude("answered");
                             return None;
                         }
