Run items again at bounded times whatever crashes under them

Cause: the quarantine of online requests also counted items; allow_retry let a quarantined item through twice, then it waited without a deadline. The counts of all VMs were added up and outlived a takeover, and were shared with whatever had the same path and body. Class of fault: strikes are counted and then something waits without a deadline. Now an item's crashes count for nothing but its own pause, which is a stored deadline: as after a broken connection for the first two, 5 s from the third on. An explorer plays all orders of seven steps (broken, crashed, interrupted, failed, taken over) and finds the item able to run within 5 s after each.

--- a/src/serve/crash/mod.rs
+++ b/src/serve/crash/mod.rs
@@ -6,8 +6,8 @@
 //! or confirm it: a request that is suspected of `LIMIT` crashes is quarantined
 //! (`requests`), and so are all requests with a part of their prompts that
 //! explains many crashes (`parts`); crashes so explained no longer count against
-//! the requests that were merely there. Items of jobs, which are stored for
-//! long, are retried after a pause and never held off for a part.
+//! the requests that were merely there. Items of jobs are owed until they are
+//! done, so their crashes count for nothing but a pause of the item itself.
 
 mod parts;
 mod report;
@@ -26,7 +26,7 @@
 pub use report::{CompletedRow, CrashRow, HeldRow, Report};
 pub use requests::{LIMIT, Requests};
 
-use super::context::Context;
+use super::context::{Context, Slot};
 use super::member::owner;
 use super::protocol::Part;
 use crate::clock::Time;
@@ -45,7 +45,7 @@
 /// A run that its upstream broke off.
 #[derive(Clone, Debug)]
 pub struct Broken {
-    /// Identifier of the request or item.
+    /// Identifier of the request.
     pub request_id: String,
     /// The upstream.
     pub upstream: Upstream,
@@ -53,9 +53,9 @@
     pub started_unix_ms: u64,
     /// Address of the upstream.
     pub address: SocketAddr,
-    /// Fingerprint of the request or item.
+    /// Fingerprint of the request.
     pub fingerprint: Fingerprint,
-    /// Parts of the request's prompt that other requests may share; none for items.
+    /// Parts of the request's prompt that other requests may share.
     pub shared_parts: Vec<Part>,
 }
 
@@ -208,13 +208,28 @@
     actix_rt::spawn(probing);
 }
 
+/// Whether the upstream that broke off the run of an item has crashed.
+pub async fn probe_for_item(context: &Context, item: &str, slot: &Slot) -> bool {
+    if accepts_connections(slot.address).await {
+        return false;
+    }
+    metrics::counter!("serve_crashes_total", "of" => "item").increment(1);
+    emit!(context.log, Event::UpstreamDied, "item" => item,
+        "upstream" => slot.upstream.as_str());
+    true
+}
+
+async fn accepts_connections(address: SocketAddr) -> bool {
+    let connecting = TcpStream::connect(address);
+    matches!(tokio::time::timeout(PROBE_TIMEOUT, connecting).await, Ok(Ok(_)))
+}
+
 async fn probe_upstream(context: Rc<Context>, broken: Broken) {
-    let connecting = TcpStream::connect(broken.address);
-    if let Ok(Ok(_)) = tokio::time::timeout(PROBE_TIMEOUT, connecting).await {
+    if accepts_connections(broken.address).await {
         return;
     }
     let run = broken.run();
-    metrics::counter!("serve_crashes_total").increment(1);
+    metrics::counter!("serve_crashes_total", "of" => "request").increment(1);
     let parts: Vec<String> = run.shared_parts.iter().map(|part| part.to_string()).collect();
     emit!(context.log, Event::UpstreamDied, "request" => broken.request_id,
         "upstream" => broken.upstream.as_str(),
--- a/src/serve/crash/requests.rs
+++ b/src/serve/crash/requests.rs
@@ -1,4 +1,4 @@
-//! Requests and items suspected of crashing the upstreams that run them.
+//! Requests suspected of crashing the upstreams that run them.
 
 use std::collections::{BTreeSet, HashMap};
 use std::time::Duration;
@@ -11,10 +11,6 @@
 pub const LIMIT: usize = 3;
 /// Time for which a request is remembered after its last crash.
 pub const RETENTION: Duration = Duration::from_secs(600);
-/// Pause before a quarantined item is retried.
-const RETRY_PAUSE: Duration = Duration::from_secs(10);
-/// Maximum number of retries of a quarantined item.
-const MAX_RETRIES: u32 = 2;
 /// Number of remembered requests at which those below `LIMIT` are dropped.
 const MAX_REQUESTS: usize = 4_096;
 
@@ -22,7 +18,6 @@
 struct Suspect {
     crashes: BTreeSet<Crash>,
     last: Time,
-    retries: u32,
 }
 
 impl Suspect {
@@ -53,21 +48,6 @@
         self.suspects.is_empty()
     }
 
-    /// Whether an item may be sent. Counts a retry if the item is quarantined.
-    pub fn allow_retry(&mut self, fingerprint: Fingerprint, now: Time) -> bool {
-        let Some(suspect) = self.suspects.get_mut(&fingerprint) else { return true };
-        if !suspect.quarantined() {
-            return true;
-        }
-        let pause_over = suspect.last.after(RETRY_PAUSE).passed(now);
-        if !pause_over || suspect.retries >= MAX_RETRIES {
-            return false;
-        }
-        suspect.retries += 1;
-        suspect.last = now;
-        true
-    }
-
     /// Records a crash; true if it is the one that quarantines the request.
     pub fn record(&mut self, fingerprint: Fingerprint, crash: Crash, at: Time, now: Time) -> bool {
         self.expire(now);
--- a/src/serve/gauge.rs
+++ b/src/serve/gauge.rs
@@ -30,4 +30,7 @@
     let (open, items_left) = jobs.open_counts();
     gauge!("serve_jobs", "of" => "this VM").set(open as f64);
     gauge!("serve_items_left").set(items_left as f64);
+    for (cause, count) in jobs.waiting_counts() {
+        gauge!("serve_items_waiting", "cause" => cause.as_str()).set(count as f64);
+    }
 }
--- a/src/serve/jobs/dispatch.rs
+++ b/src/serve/jobs/dispatch.rs
@@ -293,23 +293,27 @@
         self.running.borrow_mut().retain(|running| !Rc::ptr_eq(&running.interrupt, &interrupt));
         let took_ms = started.until(self.context.now()).as_secs_f64() * 1e3;
         let events = outcome.events() - events_before.min(outcome.events());
-        emit!(self.context.log, Event::ItemEnded, "job" => job.as_str(), "item" => item.id.as_str(),
-            "upstream" => upstream.as_str(), "outcome" => outcome.as_str(),
-            "took_ms" => took_ms as u64, "events" => events, "events_before" => events_before);
+        let name = outcome.as_str();
         let mut table = self.context.table.borrow_mut();
         table.record_item_attempt(key, events, took_ms);
         if let AttemptOutcome::Completed(_) = outcome {
             table.record_item_size(key, outcome.events(), item.tokens);
         }
         drop(table);
-        metrics::counter!("serve_item_attempts_total", "outcome" => outcome.as_str()).increment(1);
+        metrics::counter!("serve_item_attempts_total", "outcome" => name).increment(1);
         let stored = matches!(
             outcome,
             AttemptOutcome::Completed(_) | AttemptOutcome::Impossible | AttemptOutcome::Failed(_)
         );
-        if let Some(owned) = self.owned.borrow_mut().get_mut(&job) {
-            owned.job.finish_attempt(index, outcome, max_attempts, self.context.now());
-        }
+        let now = self.context.now();
+        let retry_at = self.owned.borrow_mut().get_mut(&job).and_then(|owned| {
+            owned.job.finish_attempt(index, outcome, max_attempts, now);
+            owned.job.not_before(index)
+        });
+        let retry_ms = retry_at.map_or(-1, |at| now.until(at).as_millis() as i64);
+        emit!(self.context.log, Event::ItemEnded, "job" => job.as_str(), "item" => item.id.as_str(),
+            "upstream" => upstream.as_str(), "outcome" => name, "took_ms" => took_ms as u64,
+            "events" => events, "events_before" => events_before, "retry_in_ms" => retry_ms);
         if stored {
             self.flush(&job);
         }
--- a/src/serve/jobs/job.rs
+++ b/src/serve/jobs/job.rs
@@ -21,8 +21,10 @@
 const BROKEN_BACKOFF: Duration = Duration::from_millis(100);
 /// Delay before an item that was interrupted by online requests may run again.
 const INTERRUPTION_BACKOFF: Duration = Duration::from_millis(60);
-/// Delay before an item that was held back after crashes is checked again.
-const HELD_BACKOFF: Duration = Duration::from_secs(2);
+/// Number of crashes of upstreams under an item from which on it pauses longer.
+const CRASHES_BEFORE_PAUSE: u32 = 3;
+/// Delay before such an item is retried.
+const CRASH_BACKOFF: Duration = Duration::from_secs(5);
 /// Maximum backoff between attempts.
 const MAX_BACKOFF: Duration = Duration::from_secs(3);
 /// Time for which a write waits for further results, to save writes to the
@@ -38,6 +40,38 @@
 /// Maximum size of the results in one write, in bytes.
 const MAX_RESULT_BYTES: usize = 700_000;
 
+/// What an item waits for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Cause {
+    /// A slot at an upstream.
+    Slot,
+    /// The backoff after an upstream failed it.
+    Failed,
+    /// The backoff after it was interrupted by online requests.
+    Interrupted,
+    /// The backoff after its upstream refused it or the connection broke.
+    Broken,
+    /// The backoff after its upstream crashed.
+    Crashed,
+}
+
+impl Cause {
+    /// All causes.
+    pub const ALL: [Self; 5] =
+        [Self::Slot, Self::Failed, Self::Interrupted, Self::Broken, Self::Crashed];
+
+    /// Value for metrics.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Cause::Slot => "slot",
+            Cause::Failed => "failed",
+            Cause::Interrupted => "interrupted",
+            Cause::Broken => "broken",
+            Cause::Crashed => "crashed",
+        }
+    }
+}
+
 /// Progress of an item.
 #[derive(Clone, Debug, PartialEq)]
 pub enum State {
@@ -47,6 +81,8 @@
         not_before: Time,
         /// Time until which the item waits for the version that made its partial output.
         resume_until: Time,
+        /// Why it waits until `not_before`.
+        cause: Cause,
         /// Partial output of earlier attempts.
         progress: Progress,
     },
@@ -60,9 +96,10 @@
 
 impl State {
     /// The state of an item that waits for `backoff` at least.
-    fn waiting(progress: Progress, now: Time, backoff: Duration) -> Self {
+    fn waiting(progress: Progress, cause: Cause, now: Time, backoff: Duration) -> Self {
         let not_before = now.after(backoff);
-        State::Waiting { not_before, resume_until: not_before.after(RESUME_PATIENCE), progress }
+        let resume_until = not_before.after(RESUME_PATIENCE);
+        State::Waiting { not_before, resume_until, cause, progress }
     }
 }
 
@@ -138,6 +175,7 @@
     pub results: Vec<Rc<ItemResult>>,
     states: Vec<State>,
     broken_counts: Vec<u32>,
+    crash_counts: Vec<u32>,
     pending_write: Option<Vec<ItemResult>>,
 }
 
@@ -146,13 +184,15 @@
     pub fn new(id: String, snapshot: Snapshot, fence: u64, times: Times) -> Self {
         let Snapshot { head, spec, results, partials } = snapshot;
         let Times { owned_since, due, expires } = times;
-        let mut states = vec![
-            State::waiting(Progress::default(), owned_since, Duration::ZERO);
-            spec.items.len()
-        ];
+        let mut states =
+            vec![
+                State::waiting(Progress::default(), Cause::Slot, owned_since, Duration::ZERO);
+                spec.items.len()
+            ];
         for partial in partials {
             if let Some(index) = spec.items.iter().position(|item| item.id == partial.item) {
-                states[index] = State::waiting(partial.into(), owned_since, Duration::ZERO);
+                states[index] =
+                    State::waiting(partial.into(), Cause::Slot, owned_since, Duration::ZERO);
             }
         }
         for result in &results {
@@ -161,6 +201,7 @@
             }
         }
         let broken_counts = vec![0; spec.items.len()];
+        let crash_counts = vec![0; spec.items.len()];
         Self {
             id,
             head,
@@ -172,6 +213,7 @@
             results: results.into_iter().map(Rc::new).collect(),
             states,
             broken_counts,
+            crash_counts,
             pending_write: None,
         }
     }
@@ -185,7 +227,7 @@
     {
         let mut ready = Ready::default();
         for (index, (item, state)) in self.spec.items.iter().zip(&self.states).enumerate() {
-            let State::Waiting { not_before, resume_until, progress } = state else { continue };
+            let State::Waiting { not_before, resume_until, progress, .. } = state else { continue };
             let waits = !resume_until.passed(now) && progress.origin.as_ref().is_some_and(&is_full);
             if !not_before.passed(now) || waits {
                 continue;
@@ -250,19 +292,48 @@
             AttemptOutcome::Failed(progress) if progress.failures >= max_attempts => {
                 done(Outcome::DeadLetter, String::new())
             }
-            AttemptOutcome::Failed(progress) => State::waiting(progress, now, FAILURE_BACKOFF),
+            AttemptOutcome::Failed(progress) => {
+                State::waiting(progress, Cause::Failed, now, FAILURE_BACKOFF)
+            }
             AttemptOutcome::Interrupted(progress) => {
-                State::waiting(progress, now, INTERRUPTION_BACKOFF)
+                State::waiting(progress, Cause::Interrupted, now, INTERRUPTION_BACKOFF)
             }
-            AttemptOutcome::Held(progress) => State::waiting(progress, now, HELD_BACKOFF),
             AttemptOutcome::Broken(progress) => {
-                self.broken_counts[index] += 1;
-                let wait = BROKEN_BACKOFF.saturating_mul(1 << self.broken_counts[index].min(5));
-                State::waiting(progress, now, wait.min(MAX_BACKOFF))
+                State::waiting(progress, Cause::Broken, now, self.broken_backoff(index))
+            }
+            AttemptOutcome::Crashed(progress) => {
+                self.crash_counts[index] += 1;
+                let paused = self.crash_counts[index] >= CRASHES_BEFORE_PAUSE;
+                let backoff = self.broken_backoff(index);
+                let backoff = if paused { CRASH_BACKOFF } else { backoff };
+                State::waiting(progress, Cause::Crashed, now, backoff)
             }
         };
     }
 
+    fn broken_backoff(&mut self, index: usize) -> Duration {
+        self.broken_counts[index] += 1;
+        let backoff = BROKEN_BACKOFF.saturating_mul(1 << self.broken_counts[index].min(5));
+        backoff.min(MAX_BACKOFF)
+    }
+
+    /// Earliest time of a waiting item's next attempt; none if it isn't waiting.
+    pub fn not_before(&self, index: usize) -> Option<Time> {
+        match self.states.get(index)? {
+            State::Waiting { not_before, .. } => Some(*not_before),
+            _ => None,
+        }
+    }
+
+    /// What each waiting item waits for at `now`.
+    pub fn waiting(&self, now: Time) -> impl Iterator<Item = Cause> {
+        self.states.iter().filter_map(move |state| match state {
+            State::Waiting { not_before, .. } if not_before.passed(now) => Some(Cause::Slot),
+            State::Waiting { cause, .. } => Some(*cause),
+            _ => None,
+        })
+    }
+
     /// Partial output of the waiting items, with their indices.
     pub fn partials(&self) -> Vec<(usize, Partial)> {
         let items = self.spec.items.iter().zip(&self.states).enumerate();
--- a/src/serve/jobs/manager.rs
+++ b/src/serve/jobs/manager.rs
@@ -1,7 +1,7 @@
 //! Manages the jobs that this VM owns: accepts them and stores their results.
 
 use std::cell::{Cell, RefCell};
-use std::collections::{HashMap, HashSet};
+use std::collections::{BTreeMap, HashMap, HashSet};
 use std::rc::Rc;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
@@ -11,7 +11,7 @@
 use super::cache::{Cache, Listing};
 use super::directory::Directory;
 use super::dispatch::RunningItem;
-use super::job::{Job, Snapshot, Status, Times};
+use super::job::{Cause, Job, Snapshot, Status, Times};
 use super::record::{
     Head, Item, Pending, Spec, ended_key, head_key, pending_key, result_key, spec_key,
 };
@@ -398,6 +398,18 @@
         (owned.len(), owned.values().map(|owned| owned.job.remaining()).sum())
     }
 
+    /// Number of waiting items by what they wait for.
+    pub fn waiting_counts(&self) -> BTreeMap<Cause, usize> {
+        let now = self.context.now();
+        let mut counts: BTreeMap<Cause, usize> = Cause::ALL.map(|cause| (cause, 0)).into();
+        for owned in self.owned.borrow().values() {
+            for cause in owned.job.waiting(now) {
+                *counts.entry(cause).or_default() += 1;
+            }
+        }
+        counts
+    }
+
     /// Jobs that this VM has owned since before `requested`, but no longer owns
     /// according to the store.
     pub(super) fn no_longer_owned(&self, requested: Time) -> Vec<String> {
--- a/src/serve/jobs/mod.rs
+++ b/src/serve/jobs/mod.rs
@@ -30,7 +30,7 @@
 pub use cache::{Cache, Listing};
 pub use directory::Directory;
 pub use dispatch::interrupt_count;
-pub use job::{Job, Ready, Snapshot, State, Status, Task, Times};
+pub use job::{Cause, Job, Ready, Snapshot, State, Status, Task, Times};
 pub use manager::Jobs;
 pub use record::{Head, Header, Item, ItemResult, Outcome, PENDING_PREFIX, Partial, Pending, Spec};
 pub use run::{AttemptOutcome, Progress};
--- a/src/serve/jobs/run.rs
+++ b/src/serve/jobs/run.rs
@@ -10,9 +10,8 @@
 
 use super::record::{Head, Item};
 use crate::id::Organisation;
-use crate::route::Fingerprint;
 use crate::serve::context::{Context, Slot};
-use crate::serve::crash::{self, Broken};
+use crate::serve::crash;
 use crate::serve::event::Decoder;
 use crate::serve::origin::Origin;
 use crate::serve::protocol::Metadata;
@@ -62,8 +61,8 @@
     Interrupted(Progress),
     /// The upstream refused the item, closed the connection or stopped sending.
     Broken(Progress),
-    /// The item wasn't sent, because upstreams crashed while running it.
-    Held(Progress),
+    /// The upstream crashed.
+    Crashed(Progress),
 }
 
 impl AttemptOutcome {
@@ -75,7 +74,7 @@
             AttemptOutcome::Failed(progress)
             | AttemptOutcome::Interrupted(progress)
             | AttemptOutcome::Broken(progress)
-            | AttemptOutcome::Held(progress) => progress.events.len(),
+            | AttemptOutcome::Crashed(progress) => progress.events.len(),
         }
     }
 
@@ -87,7 +86,7 @@
             AttemptOutcome::Failed(_) => "failed",
             AttemptOutcome::Interrupted(_) => "interrupted",
             AttemptOutcome::Broken(_) => "broken",
-            AttemptOutcome::Held(_) => "held",
+            AttemptOutcome::Crashed(_) => "crashed",
         }
     }
 }
@@ -101,11 +100,6 @@
     progress: Progress,
     interrupt: &Notify,
 ) -> AttemptOutcome {
-    let fingerprint = fingerprint(head, item);
-    let now = context.now();
-    if !context.crashes.borrow_mut().requests.allow_retry(fingerprint, now) {
-        return AttemptOutcome::Held(progress);
-    }
     let mut attempt = Attempt { context, slot, head, item, progress };
     // Events received before an interruption are kept.
     let end = tokio::select! {
@@ -122,20 +116,16 @@
             AttemptOutcome::Failed(Progress { failures: progress.failures + 1, ..progress })
         }
         Some(End::Broken) => AttemptOutcome::Broken(progress),
+        Some(End::Crashed) => AttemptOutcome::Crashed(progress),
     }
 }
 
-/// Fingerprint by which crashes are attributed to an item.
-fn fingerprint(head: &Head, item: &Item) -> Fingerprint {
-    let organisation = Organisation::from(head.organisation.as_str());
-    crash::fingerprint(Some(&organisation), &item.path, &item.body)
-}
-
 enum End {
     Completed,
     Impossible,
     Failed,
     Broken,
+    Crashed,
 }
 
 struct Attempt<'a> {
@@ -210,15 +200,9 @@
 
     async fn report_failure(&self, reason: &str) -> End {
         self.slot.record_failure(reason);
-        let broken = Broken {
-            request_id: self.item.id.clone(),
-            upstream: self.slot.upstream.clone(),
-            started_unix_ms: self.slot.started_unix_ms,
-            address: self.slot.address,
-            fingerprint: fingerprint(self.head, self.item),
-            shared_parts: Vec::new(),
-        };
-        crash::probe(self.context, broken).await;
+        if crash::probe_for_item(self.context, &self.item.id, &self.slot).await {
+            return End::Crashed;
+        }
         End::Broken
     }
 
--- a/tests/serve_crash_parts.rs
+++ b/tests/serve_crash_parts.rs
@@ -5,7 +5,7 @@
 
 use parsleybeam::clock::Time;
 use parsleybeam::route::Fingerprint;
-use parsleybeam::serve::crash::{Crash, Parts, Reporter, Run};
+use parsleybeam::serve::crash::{Crash, Parts, Reporter, Requests, Run};
 use parsleybeam::serve::protocol::Part;
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -160,6 +160,31 @@
     assert!(parts.held_part(&[BAD]).is_none());
 }
 
+#[test]
+fn requests_quarantine_has_an_end() {
+    let (mut requests, request) = (Requests::default(), Fingerprint(7));
+    let quarantined = |requests: &Requests| requests.is_quarantined(request);
+    for number in 0..3 {
+        requests.record(request, Crash(number), millis(number), millis(number));
+    }
+    assert!(quarantined(&requests));
+    let later = NOW.after(Duration::from_secs(601));
+    requests.record(Fingerprint(8), Crash(9), later, later);
+    assert!(!quarantined(&requests));
+}
+
+#[test]
+fn requests_forgiven_for_explained_crashes() {
+    let (mut requests, request) = (Requests::default(), Fingerprint(7));
+    for number in 0..3 {
+        requests.record(request, Crash(number), millis(number), millis(number));
+    }
+    requests.forgive(|crash| crash == Crash(1));
+    assert!(!requests.is_quarantined(request));
+    requests.forgive(|_| true);
+    assert!(requests.is_empty());
+}
+
 /// A service of upstreams that crash at random, and under `BAD` if it is sent.
 struct Service {
     random: ChaCha8Rng,
--- a/tests/serve_jobs.rs
+++ b/tests/serve_jobs.rs
@@ -6,8 +6,8 @@
 use parsleybeam::clock::Time;
 use parsleybeam::id::{Service, Version};
 use parsleybeam::serve::jobs::{
-    AttemptOutcome, Head, Item, ItemResult, Job, Outcome, Partial, Progress, Rank, Snapshot, Spec,
-    Status, Task, Times, expected_end,
+    AttemptOutcome, Cause, Head, Item, ItemResult, Job, Outcome, Partial, Progress, Rank, Snapshot,
+    Spec, Status, Task, Times, expected_end,
 };
 use parsleybeam::serve::origin::Origin;
 use parsleybeam::serve::upstream::Timing;
@@ -150,6 +150,67 @@
     assert_eq!(job.resumes_at(next.index, late), None, "it may start over anywhere");
 }
 
+/// Something that happens to the only item of a job.
+#[derive(Clone, Copy, Debug)]
+enum Step {
+    Broken,
+    Crashed,
+    Interrupted,
+    Failed,
+    TakenOver,
+}
+
+const STEPS: [Step; 5] =
+    [Step::Broken, Step::Crashed, Step::Interrupted, Step::Failed, Step::TakenOver];
+
+/// Longest time for which an item may wait for anything but a slot.
+const MAX_PAUSE: Duration = Duration::from_secs(5);
+
+/// Plays all orders of `STEPS` up to a length and checks after each step that the item may
+/// run again within `MAX_PAUSE`.
+#[test]
+fn explore_item_never_waits_for_ever() {
+    const LENGTH: u32 = 7;
+    for number in 0..STEPS.len().pow(LENGTH) {
+        let (mut job, mut now) = (job(snapshot(1)), NOW);
+        let mut rest = number;
+        for _ in 0..LENGTH {
+            let step = STEPS[rest % STEPS.len()];
+            rest /= STEPS.len();
+            let task = start(&mut job, now).unwrap_or_else(|| panic!("{number}: it waits on"));
+            let progress = task.progress;
+            match step {
+                Step::TakenOver => job = self::job(snapshot(1)),
+                Step::Broken => finish(&mut job, AttemptOutcome::Broken(progress), now),
+                Step::Crashed => finish(&mut job, AttemptOutcome::Crashed(progress), now),
+                Step::Interrupted => finish(&mut job, AttemptOutcome::Interrupted(progress), now),
+                Step::Failed => finish(&mut job, AttemptOutcome::Failed(progress), now),
+            }
+            assert!(job.next_write().is_none(), "{number}: {step:?} ended it");
+            now = now.after(MAX_PAUSE);
+        }
+    }
+}
+
+fn finish(job: &mut Job, outcome: AttemptOutcome, now: Time) {
+    job.finish_attempt(0, outcome, 3, now);
+}
+
+#[test]
+fn waiting_says_for_what_and_until_when() {
+    let mut job = job(snapshot(1));
+    assert_eq!(job.waiting(NOW).collect::<Vec<_>>(), [Cause::Slot]);
+    for _ in 0..3 {
+        let now = job.not_before(0).expect("it waits").max(NOW);
+        let task = start(&mut job, now).expect("it may run");
+        assert_eq!(job.not_before(0), None, "it runs");
+        finish(&mut job, AttemptOutcome::Crashed(task.progress), now);
+        assert_eq!(job.waiting(now).collect::<Vec<_>>(), [Cause::Crashed]);
+    }
+    let until = job.not_before(0).expect("it waits");
+    assert_eq!(job.waiting(until).collect::<Vec<_>>(), [Cause::Slot]);
+}
+
 #[test]
 fn restrict_to_another_version() {
     let begun = Progress {
--- a/tests/serve_place.rs
+++ b/tests/serve_place.rs
@@ -291,3 +291,14 @@
     table.set_peer_loads([peer("a", 8, 0)]);
     assert!(!free(&table));
 }
+
+#[test]
+fn record_failure_ejection_is_bounded() {
+    let mut table = table(&["a"]);
+    let key = table.iter().map(|(key, _)| key).next().expect("the upstream is in the table");
+    for _ in 0..100 {
+        table.record_failure(key, NOW);
+    }
+    let later = NOW.after(Duration::from_secs(4));
+    assert!(table.get(key).expect("it is in the table").usable(later), "whatever it did");
+}
