--- a/standins/src/platform/replica.rs
+++ b/standins/src/platform/replica.rs
@@ -66,6 +66,7 @@
 #[derive(Debug, Default)]
 struct State {
     down: bool,
+    leaving: bool,
     crashing_part: Option<CrashingPart>,
     behaviours: VecDeque<Behaviour>,
     requests: Vec<Request>,
@@ -139,6 +140,11 @@
         self.state.lock().crashing_part = Some(CrashingPart { id: id.to_owned(), down_for });
     }
 
+    /// Makes the replica say in all its answers whether it leaves.
+    pub fn set_leaving(&self, leaving: bool) {
+        self.state.lock().leaving = leaving;
+    }
+
     /// Drops the queued behaviours, so that the next requests are completed.
     pub fn clear(&self) {
         self.state.lock().behaviours.clear();
@@ -217,9 +223,11 @@
 ) -> io::Result<bool> {
     let request_id = request.header("parsleybeam-request-id").unwrap_or_default();
     let request_id = if behaviour == Behaviour::WrongRequestId { "another" } else { request_id };
+    let leaving = if state.lock().leaving { "server-leaving: 1\r\n" } else { "" };
     let empty_response = |status: u16, more: &str| {
         format!(
-            "HTTP/1.1 {status} X\r\nparsleybeam-request-id: {request_id}\r\n{more}content-length: 0\r\n\r\n"
+            "HTTP/1.1 {status} X\r\nparsleybeam-request-id: {request_id}\r\n{leaving}{more}\
+             content-length: 0\r\n\r\n"
         )
     };
     match behaviour {
@@ -235,7 +243,7 @@
     }
     let head = format!(
         "HTTP/1.1 200 OK\r\nparsleybeam-request-id: {request_id}\r\n\
-         parsleybeam-response-signature: {SIGNATURE}\r\n\
+         parsleybeam-response-signature: {SIGNATURE}\r\n{leaving}\
          content-type: text/event-stream\r\ntransfer-encoding: chunked\r\n\r\n"
     );
     out.write_all(head.as_bytes())?;
