Send nothing more to upstreams that said in an answer that they leave

Cause: only the store's list told who leaves; the header Server-Leaving of answers was passed on unread. Now each answer's head is read for it, online, items, refusals and failures alike, before its body. The process (upstream and start time) is remembered, so that no older entry undoes it, an address taken over isn't shunned and a new process serves. Its idle connections are closed. If all upstreams of a service leave, callers are refused at once. One event, 511, with the request and the age of the list.

--- a/src/event/catalogue.rs
+++ b/src/event/catalogue.rs
@@ -69,6 +69,7 @@
     508 UpstreamFailed Warning "upstream failed; temporarily excluded from selection";
     509 PartHeldOff Warning "requests with a part of a prompt held off: upstreams crashed under it";
     510 PartCleared Info "part of a prompt no longer held off: an answer with it was completed";
+    511 UpstreamLeaving Info "upstream said that it leaves; it gets no more requests";
 
     601 SharesMoved Info "share table adopted";
 
--- a/src/serve/context.rs
+++ b/src/serve/context.rs
@@ -13,6 +13,7 @@
 
 use super::configuration::Configuration;
 use super::crash::Crashes;
+use super::departure::Process;
 use super::jobs::Pending;
 use super::member::{self, Member};
 use super::origin::{History, Origin, Origins};
@@ -234,6 +235,23 @@
             "address" => self.address.to_string(), "reason" => reason, "pause_ms" => pause_ms);
     }
 
+    /// Records that the upstream said in the answer to `request_id` that it leaves.
+    pub fn record_leaving(&self, request_id: &str) {
+        let (context, now) = (&self.context, self.context.now());
+        let process = Process::new(&self.upstream, self.started_unix_ms);
+        if !context.table.borrow_mut().record_leaving(process, now, true, now) {
+            return;
+        }
+        let view_age = context.view.borrow().confirmed_at.until(now);
+        emit!(context.log, Event::UpstreamLeaving, "upstream" => self.upstream.as_str(),
+            "request" => request_id, "told_by" => "answer",
+            "entry_age_ms" => view_age.as_millis() as u64);
+        metrics::counter!("serve_upstreams_leaving_total", "told_by" => "answer").increment(1);
+        context.pool.close_idle(self.address);
+        context.load_changed.notify_one();
+        context.work_changed.notify_one();
+    }
+
     /// Records that the first event arrived.
     pub fn record_first_event(&self) {
         let took_ms = self.held_ms();
--- a/src/serve/datagram.rs
+++ b/src/serve/datagram.rs
@@ -80,6 +80,23 @@
     /// Number of the waiting items that can still end in time.
     #[prost(uint32, tag = "7")]
     pub items_in_time: u32,
+    /// Processes of upstreams that lately told the sender that they leave.
+    #[prost(message, repeated, tag = "8")]
+    pub leaving: Vec<Leaving>,
+}
+
+/// A process of an upstream that leaves.
+#[derive(Clone, Copy, PartialEq, Message)]
+pub struct Leaving {
+    /// Number of the upstream, as given by `upstream::number`.
+    #[prost(fixed32, tag = "1")]
+    pub upstream: u32,
+    /// Start time of the process, as a Unix time in milliseconds.
+    #[prost(fixed64, tag = "2")]
+    pub started_unix_ms: u64,
+    /// Time since it said so, in milliseconds.
+    #[prost(uint32, tag = "3")]
+    pub age_ms: u32,
 }
 
 /// Requests running at one upstream.
--- a/src/serve/exchange.rs
+++ b/src/serve/exchange.rs
@@ -302,6 +302,9 @@
             if !history.tried.is_empty() && refusals < MAX_REFUSALS {
                 history.tried.clear();
                 refusals += 1;
+            } else if context.table.borrow().all_leave(&admitted.service) {
+                let detail = format!("all upstreams of {} leave", admitted.service);
+                return Err(no_upstream_error(context, history, Kind::NoUpstream, &detail));
             } else if select_until.passed(context.now()) {
                 return Err(no_upstream_error(
                     context,
@@ -344,6 +347,9 @@
         };
         let request_id = admitted.head.request_id.as_deref().unwrap_or_default();
         let classification = context.protocol.classify(answer.status, &answer.headers, request_id);
+        if classification.leaving {
+            slot.record_leaving(request_id);
+        }
         if classification.refused {
             record.reason = format!("refused with {}", answer.status.as_u16());
             if answer.status == StatusCode::MISDIRECTED_REQUEST {
--- a/src/serve/jobs/run.rs
+++ b/src/serve/jobs/run.rs
@@ -149,6 +149,9 @@
             Err(_) => return self.report_failure("no answer").await,
         };
         let verdict = self.context.protocol.classify(answer.status, &answer.headers, &self.item.id);
+        if verdict.leaving {
+            self.slot.record_leaving(&self.item.id);
+        }
         if verdict.refused {
             return End::Broken;
         }
--- a/src/serve/mod.rs
+++ b/src/serve/mod.rs
@@ -9,7 +9,7 @@
 //!
 //! | concern | logic | I/O |
 //! |---|---|---|
-//! | upstream selection and load shedding | `place` | `exchange` |
+//! | upstream selection and load shedding | `place`, `departure` | `exchange` |
 //! | rate limits | `rate` | `peers` |
 //! | order and resumption of streams | `event`, `origin` | `relay`, `peers` |
 //! | items, results, positions | `jobs::Job` | `jobs::Jobs` |
@@ -21,6 +21,7 @@
 pub mod context;
 pub mod crash;
 pub mod datagram;
+pub mod departure;
 pub mod event;
 pub mod exchange;
 pub mod frontend;
--- a/src/serve/peers.rs
+++ b/src/serve/peers.rs
@@ -14,7 +14,10 @@
 use super::configuration::Tenant;
 use super::context::{Context, View};
 use super::crash::{self, Report};
-use super::datagram::{Changed, Content, Datagram, Grant, Load, Opened, Row, TokenRequest};
+use super::datagram::{
+    Changed, Content, Datagram, Grant, Leaving, Load, Opened, Row, TokenRequest,
+};
+use super::departure::Process;
 use super::jobs::{Jobs, Pending};
 use super::member::{Member, owner};
 use super::place::Contender;
@@ -219,10 +222,40 @@
             items_waiting,
             ejected,
             items_in_time,
+            leaving: self.leaving(),
         };
         self.broadcast(Content::Load(load));
     }
 
+    /// Upstreams that lately told this VM that they leave.
+    fn leaving(&self) -> Vec<Leaving> {
+        let now = self.context.now();
+        let table = self.context.table.borrow();
+        let row = |(process, at): (Process, Time)| Leaving {
+            upstream: process.number,
+            started_unix_ms: process.started_unix_ms,
+            age_ms: at.until(now).as_millis() as u32,
+        };
+        table.told_leaving(now).map(row).collect()
+    }
+
+    fn record_leaving(&self, vm: &str, leaving: &[Leaving]) {
+        let now = self.context.now();
+        for row in leaving {
+            let (process, at) = (Process::from(*row), row.told_at(now));
+            if !self.context.table.borrow_mut().record_leaving(process, at, false, now) {
+                continue;
+            }
+            let table = self.context.table.borrow();
+            let entry = table.iter().find(|(_, entry)| entry.number == process.number);
+            let upstream = entry.map(|(_, entry)| entry.registration.upstream.to_string());
+            emit!(self.context.log, Event::UpstreamLeaving,
+                "upstream" => upstream.unwrap_or_default(), "told_by" => vm,
+                "age_ms" => row.age_ms);
+            metrics::counter!("serve_upstreams_leaving_total", "told_by" => "peer").increment(1);
+        }
+    }
+
     fn rows(&self) -> Vec<Row> {
         let table = self.context.table.borrow();
         let busy = table.iter().filter(|(_, entry)| entry.own.total() > 0);
@@ -287,6 +320,7 @@
     fn handle(self: &Rc<Self>, datagram: Datagram, from: SocketAddr, jobs: &Rc<Jobs>) {
         match datagram.content {
             Some(Content::Load(load)) => {
+                self.record_leaving(&datagram.vm, &load.leaving);
                 self.record_load(Vm::from(datagram.vm), datagram.incarnation, from, load);
             }
             Some(Content::TokenRequest(request)) => {
--- a/src/serve/place.rs
+++ b/src/serve/place.rs
@@ -75,7 +75,7 @@
 pub fn online(table: &Table, criteria: Criteria<'_>, now: Time) -> Option<Choice> {
     // A stream that only one version can go on with takes an ejected upstream too.
     let sendable = |entry: &Entry| match criteria.version {
-        Some(_) => !entry.registration.draining,
+        Some(_) => entry.stays(),
         None => entry.usable(now),
     };
     let usable = |(_, entry): &(Key, &Entry)| {
@@ -171,7 +171,7 @@
     let of_version = table
         .of_service(service)
         .map(|(_, entry)| entry)
-        .filter(|entry| &entry.registration.version == version && !entry.registration.draining);
+        .filter(|entry| &entry.registration.version == version && entry.stays());
     let mut room = Room::Gone;
     for entry in of_version {
         if entry.usable(now) && entry.free_slots() > 0 {
--- a/src/serve/protocol.rs
+++ b/src/serve/protocol.rs
@@ -119,6 +119,8 @@
 pub struct Classification {
     /// Whether the upstream states that it has not run the request and won't.
     pub refused: bool,
+    /// Whether the upstream says that it leaves.
+    pub leaving: bool,
     /// Whether the response carries the identifier of this request.
     pub matches_request: bool,
     /// Whether the response is a stream of events.
--- a/src/serve/store.rs
+++ b/src/serve/store.rs
@@ -6,6 +6,7 @@
 use futures_util::future::LocalBoxFuture;
 
 use super::configuration::Configuration;
+use super::departure::Process;
 use crate::error::Result;
 use crate::id::{DataCentre, Service, Upstream, Version, Vm};
 use crate::kv::Entry;
@@ -31,6 +32,13 @@
     pub started_unix_ms: u64,
 }
 
+impl Registration {
+    /// The process that wrote it.
+    pub fn process(&self) -> Process {
+        Process::new(&self.upstream, self.started_unix_ms)
+    }
+}
+
 /// A request to retire a storage VM.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Retirement {
--- a/src/serve/upstream.rs
+++ b/src/serve/upstream.rs
@@ -7,6 +7,7 @@
 use siphasher::sip::SipHasher13;
 use slotmap::{SlotMap, new_key_type};
 
+use super::departure::{Departures, Process};
 use super::store::Registration;
 use crate::clock::Time;
 use crate::id::{Service, Upstream};
@@ -94,6 +95,8 @@
     pub peer_failures: u32,
     /// Time until which it gets no requests from this VM.
     pub ejected_until: Time,
+    /// Whether its process said that it leaves.
+    pub leaving: bool,
     /// Moving average of the time to the first event, in milliseconds.
     pub first_event_ms: f64,
     failures: u32,
@@ -111,6 +114,7 @@
             batch_yielding_first: 0,
             peer_failures: 0,
             ejected_until: Time(0),
+            leaving: false,
             first_event_ms: 0.0,
             failures: 0,
             missing_since: None,
@@ -130,9 +134,14 @@
         self.registration.slots.saturating_sub(self.load().total())
     }
 
+    /// Whether it takes new requests, by its registration and by its own word.
+    pub fn stays(&self) -> bool {
+        !self.registration.draining && !self.leaving
+    }
+
     /// Whether requests may be sent at `now`.
     pub fn usable(&self, now: Time) -> bool {
-        !self.registration.draining && self.ejected_until.passed(now)
+        self.stays() && self.ejected_until.passed(now)
     }
 }
 
@@ -150,6 +159,7 @@
     by_name: HashMap<Upstream, Key>,
     by_number: HashMap<u32, Key>,
     timings: HashMap<Service, Timing>,
+    departures: Departures,
     grace_until: Time,
 }
 
@@ -195,6 +205,7 @@
             let restarted = entry.registration.started_unix_ms != registration.started_unix_ms
                 || entry.registration.address != registration.address;
             entry.registration = registration.clone();
+            entry.leaving = self.departures.contains(registration.process());
             if restarted {
                 entry.ejected_until = Time(0);
                 entry.failures = 0;
@@ -202,7 +213,8 @@
             }
             return false;
         }
-        let entry = Entry::new(registration.clone());
+        let mut entry = Entry::new(registration.clone());
+        entry.leaving = self.departures.contains(registration.process());
         let number = entry.number;
         let key = self.entries.insert(entry);
         self.by_name.insert(registration.upstream.clone(), key);
@@ -240,6 +252,28 @@
         self.entries.iter().filter(move |(_, entry)| &entry.registration.service == service)
     }
 
+    /// Records that a process of an upstream said at `at` that it leaves, in an answer
+    /// that this VM read or another one; whether this was unknown here.
+    pub fn record_leaving(&mut self, process: Process, at: Time, own: bool, now: Time) -> bool {
+        let is_new = self.departures.record(process, at, own, now);
+        if let Some(key) = self.by_number.get(&process.number) {
+            let entry = &mut self.entries[*key];
+            entry.leaving = self.departures.contains(entry.registration.process());
+        }
+        is_new
+    }
+
+    /// Processes that lately told this VM that they leave, with the time of their answer.
+    pub fn told_leaving(&self, now: Time) -> impl Iterator<Item = (Process, Time)> {
+        self.departures.told(now)
+    }
+
+    /// Whether all upstreams of a service leave; false if it has none.
+    pub fn all_leave(&self, service: &Service) -> bool {
+        let mut entries = self.of_service(service).peekable();
+        entries.peek().is_some() && entries.all(|(_, entry)| !entry.stays())
+    }
+
     /// Replaces the loads of all peers.
     pub fn set_peer_loads<I>(&mut self, loads: I)
     where
