Split refusals from the exchange and crash reports from the peers

Moves only: serve/refusal.rs holds the checks and errors of requests that are refused, crash/gossip.rs the exchange of crash reports.

--- a/src/serve/crash/mod.rs
+++ b/src/serve/crash/mod.rs
@@ -9,6 +9,7 @@
 //! the requests that were merely there. Items of jobs are owed until they are
 //! done, so their crashes count for nothing but a pause of the item itself.
 
+mod gossip;
 mod parts;
 mod report;
 mod requests;
--- a/src/serve/mod.rs
+++ b/src/serve/mod.rs
@@ -38,6 +38,7 @@
 pub mod rate;
 pub mod reader;
 pub mod record;
+mod refusal;
 pub mod relay;
 pub mod resume;
 pub mod store;
--- a/src/serve/peers.rs
+++ b/src/serve/peers.rs
@@ -13,7 +13,6 @@
 use super::channel::Relays;
 use super::configuration::Tenant;
 use super::context::{Context, View};
-use super::crash::{self, Report};
 use super::datagram::{
     Changed, Content, Datagram, Grant, Leaving, Load, Opened, Row, TokenRequest,
 };
@@ -21,7 +20,6 @@
 use super::jobs::{Jobs, Pending};
 use super::member::{Member, owner};
 use super::place::Contender;
-use super::protocol::Part;
 use super::rate;
 use super::resume;
 use super::upstream::{self, PeerLoad};
@@ -38,10 +36,6 @@
 const HEARTBEAT: Duration = Duration::from_millis(250);
 /// The same in a fleet of more than `SMALL_FLEET` members; well below `SILENT_AFTER`.
 const LARGE_HEARTBEAT: Duration = Duration::from_millis(500);
-/// Interval at which crashes are reported again.
-const CRASH_REPEAT: Duration = Duration::from_millis(1_000);
-/// Maximum pause before a VM reports that a part of a prompt is sound.
-const MAX_REPORT_PAUSE: Duration = Duration::from_millis(60);
 /// Maximum number of members of a small fleet.
 const SMALL_FLEET: usize = 12;
 /// Time without a load report after which a peer's load isn't counted and its address
@@ -145,63 +139,6 @@
         }
     }
 
-    /// Reports the crashes that this VM observed, at once and periodically, until the
-    /// process exits.
-    pub async fn announce_crashes(self: Rc<Self>) {
-        loop {
-            let seen = self.context.crash_seen.notified();
-            let _ = tokio::time::timeout(CRASH_REPEAT, seen).await;
-            crash::decide(&self.context);
-            let cleared = self.context.parts_completed.take();
-            self.report_completed(&cleared);
-            let report = self.context.crashes.borrow().report(false, self.context.now());
-            if !report.crashes.is_empty() {
-                self.broadcast(Content::Crashes(report));
-            }
-            self.gossip_crashes();
-        }
-    }
-
-    /// Sends what this VM knows about crashes to one random peer, if it holds off anything.
-    fn gossip_crashes(&self) {
-        let report = self.context.crashes.borrow().report(true, self.context.now());
-        let others = self.others();
-        if report.held.is_empty() || others.is_empty() {
-            return;
-        }
-        let index = self.context.random() as usize % others.len();
-        self.send_to(Content::Crashes(report), others[index]);
-    }
-
-    /// Sends what this VM knows about crashes to a VM that has just started.
-    fn send_crashes(&self, address: SocketAddr) {
-        let report = self.context.crashes.borrow().report(true, self.context.now());
-        if report != Report::default() {
-            self.send_to(Content::Crashes(report), address);
-        }
-    }
-
-    /// Reports to all VMs that answers were completed with `parts`.
-    fn report_completed(&self, parts: &[Part]) {
-        if let Some(report) = crash::completed_report(&self.context, parts) {
-            self.broadcast(Content::Crashes(report));
-        }
-    }
-
-    fn handle_crashes(self: &Rc<Self>, vm: &str, report: &Report) {
-        let sound = crash::merge(&self.context, vm, report);
-        if sound.is_empty() {
-            return;
-        }
-        // One VM's report is enough, so each waits for a random time.
-        let pause = MAX_REPORT_PAUSE.mul_f64(self.context.random() as f64 / u64::MAX as f64);
-        let peers = self.clone();
-        actix_rt::spawn(async move {
-            tokio::time::sleep(pause).await;
-            peers.report_completed(&sound);
-        });
-    }
-
     /// Sends one load report.
     pub fn send_load(&self) {
         self.sequence.set(self.sequence.get() + 1);
@@ -294,7 +231,8 @@
         recent.filter(|(vm, _)| !is_listed(vm)).map(|(_, state)| state.address).collect()
     }
 
-    fn broadcast(&self, content: Content) {
+    /// Sends a datagram to all other VMs.
+    pub(super) fn broadcast(&self, content: Content) {
         let bytes = self.datagram(content);
         for address in self.others() {
             self.send(&bytes, address);
