Count repeated crash reports once

Cause, found by reading: VMs repeat their reports each second and ages in them are a little off, so a repeated row counted as a later crash, moved the time of the next trial forward and made each VM decide anew for each row. Now only a run that is new changes anything, and of two VMs' words on a part the later times stand. The new test begin_trial_not_hastened_by_repeated_reports covers both.

--- a/src/serve/crash/mod.rs
+++ b/src/serve/crash/mod.rs
@@ -105,8 +105,9 @@
     /// Records that a request was in flight at a crash.
     pub fn record(&mut self, run: Run, reporter: Reporter, at: Time, now: Time) -> Change {
         let (fingerprint, crash) = (run.fingerprint, run.crash);
-        self.parts.record_crash(run, reporter, at);
-        let held = self.decide(now);
+        // Reports are repeated; only what is new can change the decision.
+        let is_new = self.parts.record_crash(run, reporter, at);
+        let held = if is_new { self.decide(now) } else { Vec::new() };
         let counts = !self.parts.explains(crash);
         let is_quarantined = counts && self.requests.record(fingerprint, crash, at, now);
         Change { quarantined: is_quarantined.then_some(fingerprint), held }
--- a/src/serve/crash/parts.rs
+++ b/src/serve/crash/parts.rs
@@ -96,6 +96,15 @@
         let interval = FIRST_TRIAL.saturating_mul(1 << trials.min(16)).min(MAX_TRIAL_INTERVAL);
         Self { last_crash, trial_at: last_crash.after(interval), trials }
     }
+
+    /// The later of each value, since ages in reports are a little off each time.
+    fn later(self, other: Self) -> Self {
+        Self {
+            last_crash: self.last_crash.max(other.last_crash),
+            trial_at: self.trial_at.max(other.trial_at),
+            trials: self.trials.max(other.trials),
+        }
+    }
 }
 
 /// Evidence against a part.
@@ -119,10 +128,12 @@
 }
 
 impl Parts {
-    /// Adds a request that was in flight at a crash.
-    pub fn record_crash(&mut self, run: Run, reporter: Reporter, at: Time) {
-        if run.shared_parts.is_empty() {
-            return;
+    /// Adds a request that was in flight at a crash; whether it is new here.
+    pub fn record_crash(&mut self, run: Run, reporter: Reporter, at: Time) -> bool {
+        let known = |(known, _): &(Run, Reporter)| known.fingerprint == run.fingerprint;
+        let incident = self.incidents.get(&run.crash);
+        if run.shared_parts.is_empty() || incident.is_some_and(|it| it.runs.iter().any(known)) {
+            return false;
         }
         for part in &run.shared_parts {
             if let Some(held) = self.held.get_mut(part)
@@ -133,11 +144,9 @@
         }
         let incident = self.incidents.entry(run.crash).or_default();
         incident.at = if incident.runs.is_empty() { at } else { incident.at.min(at) };
-        let known = |(known, _): &(Run, Reporter)| known.fingerprint == run.fingerprint;
-        if !incident.runs.iter().any(known) {
-            incident.runs.push((run, reporter));
-        }
+        incident.runs.push((run, reporter));
         self.drop_oldest();
+        true
     }
 
     fn drop_oldest(&mut self) {
@@ -177,12 +186,11 @@
         if self.completed.get(&part).is_some_and(|completed| *completed > last_crash) {
             return false;
         }
-        let known = self.held.insert(part, Held::new(last_crash, trials));
-        let Some(known) = known else { return true };
-        if known.last_crash >= last_crash && known.trials >= trials {
-            self.held.insert(part, known);
-        }
-        false
+        let told = Held::new(last_crash, trials);
+        let known = self.held.get(&part).copied();
+        let merged = known.map_or(told, |known| known.later(told));
+        self.held.insert(part, merged);
+        known.is_none()
     }
 
     /// Decides by the evidence so far; parts that are held off from now on.
--- a/tests/serve_crash_parts.rs
+++ b/tests/serve_crash_parts.rs
@@ -143,6 +143,25 @@
     assert_eq!((held.trials, held.trial_at), (2, seconds(91 + 120)));
 }
 
+#[test]
+fn begin_trial_not_hastened_by_repeated_reports() {
+    let mut parts = Parts::default();
+    let seconds = |count: u64| NOW.after(Duration::from_secs(count));
+    for number in 0..4 {
+        crash(&mut parts, number, number.into(), &[BAD], millis(number));
+    }
+    assert_eq!(decide(&mut parts, millis(20)), [BAD]);
+    assert!(parts.begin_trial(BAD, seconds(31)));
+    let before = parts.held_part(&[BAD]);
+    for number in 0..4 {
+        // The age in a report is a little off each time.
+        crash(&mut parts, number, number.into(), &[BAD], millis(number + 5));
+    }
+    assert_eq!(parts.held_part(&[BAD]), before);
+    assert!(!parts.adopt(BAD, millis(9), 0), "told by a VM that doesn't know of the trial");
+    assert!(!parts.begin_trial(BAD, seconds(80)));
+}
+
 #[test]
 fn adopt_keeps_the_later_deadline() {
     let mut parts = Parts::default();
