--- a/src/clock.rs
+++ b/src/clock.rs
@@ -40,6 +40,16 @@
         Duration::from_micros(deadline.0.saturating_sub(self.0))
     }
 
+    /// The time `age_ms` milliseconds earlier; the start of the clock at the earliest.
+    pub fn before_millis(self, age_ms: u32) -> Self {
+        Time(self.0.saturating_sub(Time::from_millis(age_ms.into()).0))
+    }
+
+    /// Milliseconds from this time to `now`, as VMs report ages to each other.
+    pub fn age_millis(self, now: Time) -> u32 {
+        u32::try_from(self.until(now).as_millis()).unwrap_or(u32::MAX)
+    }
+
     /// Whether this deadline has passed at `now`.
     pub fn passed(self, now: Time) -> bool {
         now >= self
--- a/src/serve/crash/gossip.rs
+++ b/src/serve/crash/gossip.rs
@@ -50,6 +50,7 @@
         }
     }
 
+    /// Merges a report and speaks for the parts in it that this VM knows to be sound.
     pub(in crate::serve) fn handle_crashes(self: &Rc<Self>, vm: &str, report: &Report) {
         let sound = super::merge(self.context(), vm, report);
         if sound.is_empty() {
--- a/src/serve/crash/mod.rs
+++ b/src/serve/crash/mod.rs
@@ -164,7 +164,7 @@
         let doubted: BTreeSet<(u64, u32)> = crashed.chain(held).collect();
         let mut parts = BTreeSet::new();
         for (part, age_ms) in doubted {
-            let (part, crashed_at) = (Part(part), report::time_at(age_ms, now));
+            let (part, crashed_at) = (Part(part), now.before_millis(age_ms));
             let is_sound = self.parts.completed_at(part).is_some_and(|at| at > crashed_at);
             let last = self.completed_reported.get(&part);
             let is_reported = last.is_some_and(|last| !last.after(COMPLETED_REPEAT).passed(now));
@@ -319,7 +319,7 @@
 pub fn merge(context: &Context, vm: &str, report: &Report) -> Vec<Part> {
     let (now, reporter) = (context.now(), reporter(vm));
     for row in &report.completed {
-        let (part, at) = (Part(row.part), report::time_at(row.age_ms, now));
+        let (part, at) = (Part(row.part), now.before_millis(row.age_ms));
         let mut crashes = context.crashes.borrow_mut();
         crashes.completed_reported.insert(part, now);
         let cleared = crashes.parts.record_completed(&[part], at);
@@ -327,7 +327,7 @@
         log_cleared(context, &cleared);
     }
     for row in &report.held {
-        let at = report::time_at(row.age_ms, now);
+        let at = now.before_millis(row.age_ms);
         let is_new = context.crashes.borrow_mut().parts.adopt(Part(row.part), at, row.trials);
         if is_new {
             log_change(context, Change { held: vec![Part(row.part)], ..Change::default() });
@@ -335,7 +335,7 @@
     }
     for row in &report.crashes {
         let Some(run) = row.run() else { continue };
-        let at = report::time_at(row.age_ms, now);
+        let at = now.before_millis(row.age_ms);
         let change = context.crashes.borrow_mut().record(run, reporter, at, now);
         log_change(context, change);
     }
--- a/src/serve/crash/report.rs
+++ b/src/serve/crash/report.rs
@@ -35,7 +35,7 @@
             fingerprint: run.fingerprint.0.to_be_bytes().into(),
             crash: run.crash.0,
             shared_parts: run.shared_parts.iter().map(|part| part.0).collect(),
-            age_ms: age_ms(at, now),
+            age_ms: at.age_millis(now),
         }
     }
 
@@ -64,7 +64,7 @@
 impl CompletedRow {
     /// The row for an answer completed at `at`.
     pub fn new(part: Part, at: Time, now: Time) -> Self {
-        Self { part: part.0, age_ms: age_ms(at, now) }
+        Self { part: part.0, age_ms: at.age_millis(now) }
     }
 }
 
@@ -85,7 +85,7 @@
 impl HeldRow {
     /// The row for a part that is held off.
     pub fn new(part: Part, held: Held, now: Time) -> Self {
-        Self { part: part.0, age_ms: age_ms(held.last_crash, now), trials: held.trials }
+        Self { part: part.0, age_ms: held.last_crash.age_millis(now), trials: held.trials }
     }
 }
 
@@ -102,12 +102,3 @@
     #[prost(message, repeated, tag = "3")]
     pub held: Vec<HeldRow>,
 }
-
-/// The time `age_ms` milliseconds before `now`.
-pub fn time_at(age_ms: u32, now: Time) -> Time {
-    Time(now.0.saturating_sub(Time::from_millis(age_ms.into()).0))
-}
-
-fn age_ms(at: Time, now: Time) -> u32 {
-    u32::try_from(at.until(now).as_millis()).unwrap_or(u32::MAX)
-}
--- a/src/serve/departure.rs
+++ b/src/serve/departure.rs
@@ -41,13 +41,6 @@
     }
 }
 
-impl Leaving {
-    /// When the process said so.
-    pub fn told_at(&self, now: Time) -> Time {
-        Time(now.0.saturating_sub(Time::from_millis(self.age_ms.into()).0))
-    }
-}
-
 #[derive(Clone, Copy, Debug)]
 struct Departure {
     /// When this VM learnt of it.
--- a/src/serve/origin.rs
+++ b/src/serve/origin.rs
@@ -163,12 +163,11 @@
     /// The record of a stream; none if this VM doesn't know it.
     pub fn get(&self, stream: Stream, now: Time) -> Option<Record> {
         let row = self.rows.get(&stream).filter(|row| !row.until.passed(now))?;
-        let remaining = now.until(row.until).as_millis();
         Some(Record {
             stream: stream.0,
             version: row.origin.version.to_string(),
             service: row.origin.service.to_string(),
-            remaining_ms: u32::try_from(remaining).unwrap_or(u32::MAX),
+            remaining_ms: u32::try_from(now.until(row.until).as_millis()).unwrap_or(u32::MAX),
         })
     }
 
--- a/src/serve/peers.rs
+++ b/src/serve/peers.rs
@@ -171,7 +171,7 @@
         let row = |(process, at): (Process, Time)| Leaving {
             upstream: process.number,
             started_unix_ms: process.started_unix_ms,
-            age_ms: at.until(now).as_millis() as u32,
+            age_ms: at.age_millis(now),
         };
         table.told_leaving(now).map(row).collect()
     }
@@ -179,7 +179,7 @@
     fn record_leaving(&self, vm: &str, leaving: &[Leaving]) {
         let now = self.context.now();
         for row in leaving {
-            let (process, at) = (Process::from(*row), row.told_at(now));
+            let (process, at) = (Process::from(*row), now.before_millis(row.age_ms));
             if !self.context.table.borrow_mut().record_leaving(process, at, false, now) {
                 continue;
             }
--- a/src/serve/refusal.rs
+++ b/src/serve/refusal.rs
@@ -49,6 +49,7 @@
     Duration::from_millis(wait_ms.max(MIN_RETRY_MS) + context.random() % RETRY_SPREAD_MS)
 }
 
+/// Error of a request that finds no upstream.
 pub(super) fn no_upstream_error(
     context: &Context,
     history: &History,
@@ -61,6 +62,7 @@
     Error::new(kind, detail).retry_after(retry_after(context, 0))
 }
 
+/// Refuses a request whose deadline has passed, or whose key can't be confirmed any more.
 pub(super) fn check_deadline_and_contact(
     context: &Context,
     admitted: &Admitted,
