Bound the work that a burst of crashes makes for parts of prompts

Suspected, not shown: each VM that sees a crash broadcast up to 64 rows at once, and each row that was new made every VM weigh all crashes again. Now a VM decides at most each 50 ms, reports at most each 100 ms and repeats to all VMs only crashes of the last 10 s; older ones go to one random VM a second and to VMs that start, as parts held off do.

--- a/src/serve/crash/gossip.rs
+++ b/src/serve/crash/gossip.rs
@@ -11,6 +11,8 @@
 
 /// Interval at which crashes are reported again.
 const CRASH_REPEAT: Duration = Duration::from_millis(1_000);
+/// Minimum time between two reports, so that those of a burst of crashes go together.
+const MIN_REPORT_INTERVAL: Duration = Duration::from_millis(100);
 /// Maximum pause before a VM reports that a part of a prompt is sound.
 const MAX_REPORT_PAUSE: Duration = Duration::from_millis(60);
 
@@ -29,6 +31,7 @@
                 self.broadcast(Content::Crashes(report));
             }
             self.gossip_crashes();
+            tokio::time::sleep(MIN_REPORT_INTERVAL).await;
         }
     }
 
@@ -36,7 +39,7 @@
     fn gossip_crashes(&self) {
         let report = self.context().crashes.borrow().report(true, self.context().now());
         let others = self.others();
-        if report.held.is_empty() || others.is_empty() {
+        if (report.held.is_empty() && report.crashes.is_empty()) || others.is_empty() {
             return;
         }
         let index = self.context().random() as usize % others.len();
--- a/src/serve/crash/mod.rs
+++ b/src/serve/crash/mod.rs
@@ -40,6 +40,10 @@
 const PROBE_TIMEOUT: Duration = Duration::from_millis(300);
 /// Maximum number of own crashes, and of crashes known from others, in one report.
 const MAX_ROWS: usize = 64;
+/// Minimum time between two decisions about parts.
+const MIN_DECISION_INTERVAL: Duration = Duration::from_millis(50);
+/// Age up to which crashes are repeated to all VMs; a VM that starts is sent older ones too.
+const REPEATED_AGE: Duration = Duration::from_secs(10);
 /// Time for which a report of a completed answer needs no repetition.
 const COMPLETED_REPEAT: Duration = Duration::from_secs(5);
 
@@ -81,6 +85,10 @@
     pub requests: Requests,
     /// Suspected parts of prompts.
     pub parts: Parts,
+    /// Whether something new was recorded since the last decision.
+    undecided: bool,
+    /// Time from which the next decision may be made.
+    decide_from: Time,
     /// Crashes that this VM observed itself, oldest first.
     own: Vec<(Run, Time)>,
     /// When some VM last reported answers completed with a part.
@@ -99,22 +107,34 @@
 impl Crashes {
     /// Whether nothing is suspected, so that requests need no check.
     pub fn is_empty(&self) -> bool {
-        self.requests.is_empty() && !self.parts.is_active()
+        self.requests.is_empty() && !self.parts.is_active() && !self.undecided
     }
 
     /// Records that a request was in flight at a crash.
     pub fn record(&mut self, run: Run, reporter: Reporter, at: Time, now: Time) -> Change {
         let (fingerprint, crash) = (run.fingerprint, run.crash);
         // Reports are repeated; only what is new can change the decision.
-        let is_new = self.parts.record_crash(run, reporter, at);
-        let held = if is_new { self.decide(now) } else { Vec::new() };
+        self.undecided |= self.parts.record_crash(run, reporter, at);
+        let held = self.decide_if_due(now);
         let counts = !self.parts.explains(crash);
         let is_quarantined = counts && self.requests.record(fingerprint, crash, at, now);
         Change { quarantined: is_quarantined.then_some(fingerprint), held }
     }
 
+    /// Decides about parts unless nothing is new or the last decision is too recent: in a
+    /// burst of crashes many reports come at once.
+    pub fn decide_if_due(&mut self, now: Time) -> Vec<Part> {
+        let is_open = self.undecided || self.parts.is_settling();
+        if !is_open || !self.decide_from.passed(now) {
+            return Vec::new();
+        }
+        self.decide_from = now.after(MIN_DECISION_INTERVAL);
+        self.decide(now)
+    }
+
     /// Decides about parts by the evidence so far; those held off from now on.
     pub fn decide(&mut self, now: Time) -> Vec<Part> {
+        self.undecided = false;
         let held = self.parts.decide(now);
         if !held.is_empty() {
             let parts = &self.parts;
@@ -136,8 +156,9 @@
     /// What this VM reports to the others; `all` includes what it knows from them and
     /// holds off.
     pub fn report(&self, all: bool, now: Time) -> Report {
+        let age = if all { requests::RETENTION } else { REPEATED_AGE };
         let recent: Vec<&(Run, Time)> =
-            self.own.iter().filter(|(_, at)| !at.after(requests::RETENTION).passed(now)).collect();
+            self.own.iter().filter(|(_, at)| !at.after(age).passed(now)).collect();
         let parts: BTreeSet<Part> =
             recent.iter().flat_map(|(run, _)| run.shared_parts.iter().copied()).collect();
         let completed = parts.into_iter().filter_map(|part| {
@@ -274,9 +295,8 @@
     if context.crashes.borrow().is_empty() {
         return None;
     }
-    if context.crashes.borrow().parts.is_settling() {
-        decide(context);
-    }
+    let held = context.crashes.borrow_mut().decide_if_due(context.now());
+    log_change(context, Change { held, ..Change::default() });
     let crashes = context.crashes.borrow();
     let held = crashes.parts.held_part(shared_parts).filter(|_| !in_trial);
     if let Some((part, held)) = held {
