--- a/src/serve/crash/gossip.rs
+++ b/src/serve/crash/gossip.rs
@@ -35,7 +35,7 @@
         }
     }
 
-    /// Sends what this VM knows about crashes to one random peer, if it holds off anything.
+    /// Sends what this VM knows about crashes to one random peer, if it has anything to tell.
     fn gossip_crashes(&self) {
         let report = self.context().crashes.borrow().report(true, self.context().now());
         let others = self.others();
