Log and count what upstreams say of their limits

Line 512 tells when a VM learns, changes or drops one; serve_limited_sends_total counts sends to such upstreams by use. Nothing is decided by it. Slots move to a file of their own, since they take what answers say of their upstreams.

--- a/src/event/catalogue.rs
+++ b/src/event/catalogue.rs
@@ -70,6 +70,7 @@
     509 PartHeldOff Warning "requests with a part of a prompt held off: upstreams crashed under it";
     510 PartCleared Info "part of a prompt no longer held off: an answer with it was completed";
     511 UpstreamLeaving Info "upstream said that it leaves; it gets no more requests";
+    512 UpstreamLimited Info "limit of an upstream learnt, changed or ended";
 
     601 SharesMoved Info "share table adopted";
 
--- a/src/serve/context.rs
+++ b/src/serve/context.rs
@@ -2,7 +2,6 @@
 
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
-use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
 
@@ -13,19 +12,17 @@
 
 use super::configuration::Configuration;
 use super::crash::Crashes;
-use super::departure::Process;
 use super::jobs::Pending;
 use super::member::{self, Member};
 use super::origin::{History, Origin, Origins};
 use super::place::Contender;
 use super::protocol::{Part, Protocol};
 use super::rate::{Limiter, Tolerance};
+use super::slot::Slot;
 use super::store::Store;
-use super::upstream::{Key, Table};
+use super::upstream::{Key, Table, Use};
 use crate::clock::{Clock, Time};
-use crate::emit;
-use crate::event::Event;
-use crate::id::{Upstream, Vm};
+use crate::id::Vm;
 use crate::settings;
 use crate::transport::Pool;
 
@@ -178,6 +175,9 @@
             Use::Online => entry.own.online += 1,
             Use::Batch => entry.own.batch += 1,
         }
+        if entry.limit_per_s.is_some() {
+            metrics::counter!("serve_limited_sends_total", "use" => kind.as_str()).increment(1);
+        }
         let slot = Slot {
             key,
             kind,
@@ -195,94 +195,3 @@
         Some(slot)
     }
 }
-
-/// Kind of request that holds a slot.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Use {
-    /// An online request.
-    Online,
-    /// An item of a batch job.
-    Batch,
-}
-
-/// A slot at an upstream, released when dropped.
-pub struct Slot {
-    /// Key of the upstream in the table.
-    pub key: Key,
-    /// Name of the upstream.
-    pub upstream: Upstream,
-    /// Service and version of the upstream when the slot was taken.
-    pub origin: Origin,
-    /// Start time of the upstream's process, as a Unix time in milliseconds.
-    pub started_unix_ms: u64,
-    /// Address of the upstream.
-    pub address: SocketAddr,
-    kind: Use,
-    taken_at: Time,
-    /// Whether the upstream had a free slot when this one was taken.
-    free: bool,
-    answered: Cell<bool>,
-    context: Rc<Context>,
-}
-
-impl Slot {
-    /// Records that the upstream failed.
-    pub fn record_failure(&self, reason: &str) {
-        let now = self.context.now();
-        let until = self.context.table.borrow_mut().record_failure(self.key, now);
-        let pause_ms = until.map_or(0, |until| now.until(until).as_millis() as u64);
-        emit!(self.context.log, Event::UpstreamFailed, "upstream" => self.upstream.as_str(),
-            "address" => self.address.to_string(), "reason" => reason, "pause_ms" => pause_ms);
-    }
-
-    /// Records that the upstream said in the answer to `request_id` that it leaves.
-    pub fn record_leaving(&self, request_id: &str) {
-        let (context, now) = (&self.context, self.context.now());
-        let process = Process::new(&self.upstream, self.started_unix_ms);
-        if !context.table.borrow_mut().record_leaving(process, now, true, now) {
-            return;
-        }
-        let view_age = context.view.borrow().confirmed_at.until(now);
-        emit!(context.log, Event::UpstreamLeaving, "upstream" => self.upstream.as_str(),
-            "request" => request_id, "told_by" => "answer",
-            "entry_age_ms" => view_age.as_millis() as u64);
-        metrics::counter!("serve_upstreams_leaving_total", "told_by" => "answer").increment(1);
-        context.pool.close_idle(self.address);
-        context.load_changed.notify_one();
-        context.work_changed.notify_one();
-    }
-
-    /// Records that the first event arrived.
-    pub fn record_first_event(&self) {
-        let took_ms = self.held_ms();
-        let mut table = self.context.table.borrow_mut();
-        table.record_first_event(self.key, took_ms);
-        if self.free {
-            table.record_idle_first_event(self.key, took_ms);
-        }
-        self.answered.set(true);
-    }
-
-    fn held_ms(&self) -> f64 {
-        self.taken_at.until(self.context.now()).as_secs_f64() * 1e3
-    }
-}
-
-impl Drop for Slot {
-    fn drop(&mut self) {
-        let held_ms = self.held_ms();
-        let mut table = self.context.table.borrow_mut();
-        if self.kind == Use::Online && self.answered.get() {
-            table.record_slot_time(self.key, held_ms);
-        }
-        if let Some(entry) = table.get_mut(self.key) {
-            match self.kind {
-                Use::Online => entry.own.online -= 1,
-                Use::Batch => entry.own.batch -= 1,
-            }
-        }
-        drop(table);
-        self.context.load_changed.notify_one();
-        self.context.work_changed.notify_one();
-    }
-}
--- a/src/serve/crash/mod.rs
+++ b/src/serve/crash/mod.rs
@@ -27,9 +27,10 @@
 pub use report::{CompletedRow, CrashRow, HeldRow, Report};
 pub use requests::{LIMIT, Requests};
 
-use super::context::{Context, Slot};
+use super::context::Context;
 use super::member::owner;
 use super::protocol::Part;
+use super::slot::Slot;
 use crate::clock::Time;
 use crate::emit;
 use crate::event::Event;
--- a/src/serve/exchange.rs
+++ b/src/serve/exchange.rs
@@ -15,7 +15,7 @@
 use http_body_util::Full;
 
 use super::configuration::{Configuration, Kind as RouteKind, Route, Tenant};
-use super::context::{Context, Slot, Use};
+use super::context::Context;
 use super::crash::{self, Broken};
 use super::origin::{Origin, Stream};
 use super::peers::Peers;
@@ -29,6 +29,8 @@
 };
 use super::relay::Relay;
 use super::resume;
+use super::slot::Slot;
+use super::upstream::Use;
 use crate::clock::Time;
 use crate::error::{Error, Kind, Result};
 use crate::id::{Organisation, Service, Upstream, Version};
@@ -336,9 +338,7 @@
         };
         let request_id = admitted.head.request_id.as_deref().unwrap_or_default();
         let classification = context.protocol.classify(answer.status, &answer.headers, request_id);
-        if classification.leaving {
-            slot.record_leaving(request_id);
-        }
+        slot.record_answer(&classification, request_id);
         if classification.refused {
             record.reason = format!("refused with {}", answer.status.as_u16());
             if answer.status == StatusCode::MISDIRECTED_REQUEST {
--- a/src/serve/gauge.rs
+++ b/src/serve/gauge.rs
@@ -16,15 +16,17 @@
     gauge!("serve_jobs", "of" => "fleet").set(view.pending.len() as f64);
     drop(view);
     gauge!("serve_parts_held_off").set(context.crashes.borrow().parts.held().count() as f64);
-    let (mut usable, mut ejected, mut online, mut batch) = (0, 0, 0, 0);
+    let (mut usable, mut ejected, mut limited, mut online, mut batch) = (0, 0, 0, 0, 0);
     for (_, entry) in context.table.borrow().iter() {
         let counted = if entry.usable(now) { &mut usable } else { &mut ejected };
         *counted += 1;
+        limited += i32::from(entry.limit_per_s.is_some());
         online += entry.own.online;
         batch += entry.own.batch;
     }
     gauge!("serve_upstreams", "state" => "usable").set(f64::from(usable));
     gauge!("serve_upstreams", "state" => "passed over").set(f64::from(ejected));
+    gauge!("serve_upstreams", "state" => "limited").set(f64::from(limited));
     gauge!("serve_slots_taken", "use" => "online").set(f64::from(online));
     gauge!("serve_slots_taken", "use" => "batch").set(f64::from(batch));
     let (open, items_left) = jobs.open_counts();
--- a/src/serve/jobs/dispatch.rs
+++ b/src/serve/jobs/dispatch.rs
@@ -27,10 +27,10 @@
 use crate::event::Event;
 use crate::id::{Service, Version};
 use crate::serve::configuration::{Configuration, Route};
-use crate::serve::context::{Slot, Use};
 use crate::serve::origin::Origin;
 use crate::serve::place::{self, BatchChoice, Contender, Criteria, Room};
-use crate::serve::upstream::{Key, Timing};
+use crate::serve::slot::Slot;
+use crate::serve::upstream::{Key, Timing, Use};
 
 /// Maximum number of items that a VM starts in a row. The pause afterwards lets
 /// VMs see each other's starts.
--- a/src/serve/jobs/run.rs
+++ b/src/serve/jobs/run.rs
@@ -10,11 +10,12 @@
 
 use super::record::{Head, Item};
 use crate::id::Organisation;
-use crate::serve::context::{Context, Slot};
+use crate::serve::context::Context;
 use crate::serve::crash;
 use crate::serve::event::Decoder;
 use crate::serve::origin::Origin;
 use crate::serve::protocol::Metadata;
+use crate::serve::slot::Slot;
 use crate::transport::{Failure, Response};
 
 /// Time without received data after which an attempt is aborted.
@@ -149,9 +150,7 @@
             Err(_) => return self.report_failure("no answer").await,
         };
         let verdict = self.context.protocol.classify(answer.status, &answer.headers, &self.item.id);
-        if verdict.leaving {
-            self.slot.record_leaving(&self.item.id);
-        }
+        self.slot.record_answer(&verdict, &self.item.id);
         if verdict.refused {
             return End::Broken;
         }
--- a/src/serve/protocol.rs
+++ b/src/serve/protocol.rs
@@ -114,13 +114,26 @@
     pub last_event: Option<u64>,
 }
 
+/// What the head of an upstream's response says about a limit on its requests.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Limit {
+    /// It names none.
+    Absent,
+    /// Requests per second that it takes from all VMs together.
+    PerSecond(f64),
+    /// It can't be read, or comes from another upstream.
+    Unknown,
+}
+
 /// What the head of an upstream's response says about the request.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Classification {
     /// Whether the upstream states that it has not run the request and won't.
     pub refused: bool,
     /// Whether the upstream says that it leaves.
     pub leaving: bool,
+    /// The limit that the upstream names.
+    pub limit: Limit,
     /// Whether the response carries the identifier of this request.
     pub matches_request: bool,
     /// Whether the response is a stream of events.
--- a/src/serve/record.rs
+++ b/src/serve/record.rs
@@ -2,7 +2,8 @@
 
 use std::rc::Rc;
 
-use super::context::{Context, Slot};
+use super::context::Context;
+use super::slot::Slot;
 use crate::clock::Time;
 use crate::emit;
 use crate::event::Event;
--- a/src/serve/relay.rs
+++ b/src/serve/relay.rs
@@ -12,11 +12,12 @@
 use futures_util::StreamExt;
 use futures_util::stream::{self, LocalBoxStream};
 
-use super::context::{Context, Slot};
+use super::context::Context;
 use super::crash;
 use super::event::Decoder;
 use super::exchange::{self, Admitted, History, Incomplete, Sent};
 use super::record::Record;
+use super::slot::Slot;
 use crate::clock::Time;
 use crate::emit;
 use crate::event::Event;
--- /dev/null
+++ b/src/serve/slot.rs
@@ -0,0 +1,133 @@
+//! Slots at upstreams, and what the answers to their requests say about the upstreams.
+
+use std::cell::Cell;
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+use super::context::Context;
+use super::departure::Process;
+use super::limit::Word;
+use super::origin::Origin;
+use super::protocol::{Classification, Limit};
+use super::upstream::{Key, Use};
+use crate::clock::Time;
+use crate::emit;
+use crate::event::Event;
+use crate::id::Upstream;
+
+/// A slot at an upstream, released when dropped.
+pub struct Slot {
+    /// Key of the upstream in the table.
+    pub key: Key,
+    /// Name of the upstream.
+    pub upstream: Upstream,
+    /// Service and version of the upstream when the slot was taken.
+    pub origin: Origin,
+    /// Start time of the upstream's process, as a Unix time in milliseconds.
+    pub started_unix_ms: u64,
+    /// Address of the upstream.
+    pub address: SocketAddr,
+    /// Kind of request that holds it.
+    pub(super) kind: Use,
+    /// When it was taken.
+    pub(super) taken_at: Time,
+    /// Whether the upstream had a free slot when this one was taken.
+    pub(super) free: bool,
+    /// Whether the upstream has sent a first event.
+    pub(super) answered: Cell<bool>,
+    pub(super) context: Rc<Context>,
+}
+
+impl Slot {
+    /// Records that the upstream failed.
+    pub fn record_failure(&self, reason: &str) {
+        let now = self.context.now();
+        let until = self.context.table.borrow_mut().record_failure(self.key, now);
+        let pause_ms = until.map_or(0, |until| now.until(until).as_millis() as u64);
+        emit!(self.context.log, Event::UpstreamFailed, "upstream" => self.upstream.as_str(),
+            "address" => self.address.to_string(), "reason" => reason, "pause_ms" => pause_ms);
+    }
+
+    /// Records that the upstream said in the answer to `request_id` that it leaves.
+    fn record_leaving(&self, request_id: &str) {
+        let (context, now) = (&self.context, self.context.now());
+        let process = self.process();
+        if !context.table.borrow_mut().record_leaving(process, now, true, now) {
+            return;
+        }
+        let view_age = context.view.borrow().confirmed_at.until(now);
+        emit!(context.log, Event::UpstreamLeaving, "upstream" => self.upstream.as_str(),
+            "request" => request_id, "told_by" => "answer",
+            "entry_age_ms" => view_age.as_millis() as u64);
+        metrics::counter!("serve_upstreams_leaving_total", "told_by" => "answer").increment(1);
+        context.pool.close_idle(self.address);
+        context.load_changed.notify_one();
+        context.work_changed.notify_one();
+    }
+
+    /// Records what the answer to `request_id` says about the upstream as a whole.
+    pub fn record_answer(&self, classification: &Classification, request_id: &str) {
+        if classification.leaving {
+            self.record_leaving(request_id);
+        }
+        match classification.limit {
+            Limit::PerSecond(per_s) => self.record_limit(Some(per_s), request_id),
+            // An upstream that didn't run the request may not say all it would say.
+            Limit::Absent if classification.matches_request && !classification.refused => {
+                self.record_limit(None, request_id);
+            }
+            Limit::Absent | Limit::Unknown => {}
+        }
+    }
+
+    fn record_limit(&self, per_s: Option<f64>, request_id: &str) {
+        let (context, now) = (&self.context, self.context.now());
+        let word = Word { per_s, at: now };
+        if !context.table.borrow_mut().record_limit(self.process(), word, true, now) {
+            return;
+        }
+        emit!(context.log, Event::UpstreamLimited, "upstream" => self.upstream.as_str(),
+            "request" => request_id, "told_by" => "answer", "limit_per_s" => per_s.unwrap_or(-1.0));
+        metrics::counter!("serve_limits_learnt_total", "told_by" => "answer").increment(1);
+        context.load_changed.notify_one();
+        context.work_changed.notify_one();
+    }
+
+    fn process(&self) -> Process {
+        Process::new(&self.upstream, self.started_unix_ms)
+    }
+
+    /// Records that the first event arrived.
+    pub fn record_first_event(&self) {
+        let took_ms = self.held_ms();
+        let mut table = self.context.table.borrow_mut();
+        table.record_first_event(self.key, took_ms);
+        if self.free {
+            table.record_idle_first_event(self.key, took_ms);
+        }
+        self.answered.set(true);
+    }
+
+    fn held_ms(&self) -> f64 {
+        self.taken_at.until(self.context.now()).as_secs_f64() * 1e3
+    }
+}
+
+impl Drop for Slot {
+    fn drop(&mut self) {
+        let held_ms = self.held_ms();
+        let mut table = self.context.table.borrow_mut();
+        if self.kind == Use::Online && self.answered.get() {
+            table.record_slot_time(self.key, held_ms);
+        }
+        if let Some(entry) = table.get_mut(self.key) {
+            match self.kind {
+                Use::Online => entry.own.online -= 1,
+                Use::Batch => entry.own.batch -= 1,
+            }
+        }
+        drop(table);
+        self.context.load_changed.notify_one();
+        self.context.work_changed.notify_one();
+    }
+}
--- a/src/serve/upstream.rs
+++ b/src/serve/upstream.rs
@@ -8,6 +8,7 @@
 use slotmap::{SlotMap, new_key_type};
 
 use super::departure::{Departures, Process};
+use super::limit::{Limits, Word};
 use super::store::Registration;
 use crate::clock::Time;
 use crate::id::{Service, Upstream};
@@ -51,6 +52,25 @@
         Self { first_event_ms: 50.0, slot_ms: 720.0, event_ms: 0.0, event_tokens: f64::INFINITY };
 }
 
+/// Kind of request that holds a slot.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Use {
+    /// An online request.
+    Online,
+    /// An item of a batch job.
+    Batch,
+}
+
+impl Use {
+    /// Value for metrics.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Use::Online => "online",
+            Use::Batch => "batch",
+        }
+    }
+}
+
 /// Number of requests running at an upstream.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Load {
@@ -97,6 +117,8 @@
     pub ejected_until: Time,
     /// Whether its process said that it leaves.
     pub leaving: bool,
+    /// Requests per second that its process takes from all VMs, if it says so.
+    pub limit_per_s: Option<f64>,
     /// Moving average of the time to the first event, in milliseconds.
     pub first_event_ms: f64,
     failures: u32,
@@ -115,6 +137,7 @@
             peer_failures: 0,
             ejected_until: Time(0),
             leaving: false,
+            limit_per_s: None,
             first_event_ms: 0.0,
             failures: 0,
             missing_since: None,
@@ -160,6 +183,7 @@
     by_number: HashMap<u32, Key>,
     timings: HashMap<Service, Timing>,
     departures: Departures,
+    limits: Limits,
     grace_until: Time,
 }
 
@@ -206,6 +230,7 @@
                 || entry.registration.address != registration.address;
             entry.registration = registration.clone();
             entry.leaving = self.departures.contains(registration.process());
+            entry.limit_per_s = self.limits.per_s(registration.process());
             if restarted {
                 entry.ejected_until = Time(0);
                 entry.failures = 0;
@@ -215,6 +240,7 @@
         }
         let mut entry = Entry::new(registration.clone());
         entry.leaving = self.departures.contains(registration.process());
+        entry.limit_per_s = self.limits.per_s(registration.process());
         let number = entry.number;
         let key = self.entries.insert(entry);
         self.by_name.insert(registration.upstream.clone(), key);
@@ -268,6 +294,17 @@
         self.departures.told(now)
     }
 
+    /// Records what a process of an upstream said of its limit, in an answer that this VM
+    /// read if `own`, or another one; whether this changes the limit.
+    pub fn record_limit(&mut self, process: Process, word: Word, own: bool, now: Time) -> bool {
+        let changed = self.limits.record(process, word, own, now);
+        if let Some(key) = self.by_number.get(&process.number) {
+            let entry = &mut self.entries[*key];
+            entry.limit_per_s = self.limits.per_s(entry.registration.process());
+        }
+        changed
+    }
+
     /// Whether all upstreams of a service leave; false if it has none.
     pub fn all_leave(&self, service: &Service) -> bool {
         let mut entries = self.of_service(service).peekable();
