--- a/standins/src/platform/replica.rs
+++ b/standins/src/platform/replica.rs
@@ -7,7 +7,7 @@
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::Arc;
 use std::thread;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use parking_lot::Mutex;
 
@@ -67,6 +67,8 @@
 struct State {
     down: bool,
     leaving: bool,
+    limit_per_s: Option<f64>,
+    arrivals: Vec<Instant>,
     crashing_part: Option<CrashingPart>,
     behaviours: VecDeque<Behaviour>,
     requests: Vec<Request>,
@@ -145,6 +147,16 @@
         self.state.lock().leaving = leaving;
     }
 
+    /// Makes the replica name a limit in all its answers, or none; it doesn't enforce it.
+    pub fn set_limit(&self, per_s: Option<f64>) {
+        self.state.lock().limit_per_s = per_s;
+    }
+
+    /// Returns when each request arrived.
+    pub fn arrivals(&self) -> Vec<Instant> {
+        self.state.lock().arrivals.clone()
+    }
+
     /// Drops the queued behaviours, so that the next requests are completed.
     pub fn clear(&self) {
         self.state.lock().behaviours.clear();
@@ -179,6 +191,7 @@
                 Some(_) => Behaviour::Crash,
                 None => state.behaviours.pop_front().unwrap_or(Behaviour::Complete),
             };
+            state.arrivals.push(Instant::now());
             state
                 .requests
                 .push(Request { executed: behaviour != Behaviour::NotExecuted, ..request.clone() });
@@ -213,6 +226,18 @@
     Ok(Some(request))
 }
 
+/// Header lines in which the replica speaks of itself.
+fn words(state: &State) -> String {
+    let mut words = String::new();
+    if state.leaving {
+        words.push_str("server-leaving: 1\r\n");
+    }
+    if let Some(per_s) = state.limit_per_s {
+        words.push_str(&format!("server-limit: {per_s}\r\n"));
+    }
+    words
+}
+
 /// Responds to one request; returns whether the connection stays open.
 fn respond(
     out: &mut TcpStream,
@@ -223,10 +248,10 @@
 ) -> io::Result<bool> {
     let request_id = request.header("parsleybeam-request-id").unwrap_or_default();
     let request_id = if behaviour == Behaviour::WrongRequestId { "another" } else { request_id };
-    let leaving = if state.lock().leaving { "server-leaving: 1\r\n" } else { "" };
+    let words = words(&state.lock());
     let empty_response = |status: u16, more: &str| {
         format!(
-            "HTTP/1.1 {status} X\r\nparsleybeam-request-id: {request_id}\r\n{leaving}{more}\
+            "HTTP/1.1 {status} X\r\nparsleybeam-request-id: {request_id}\r\n{words}{more}\
              content-length: 0\r\n\r\n"
         )
     };
@@ -243,7 +268,7 @@
     }
     let head = format!(
         "HTTP/1.1 200 OK\r\nparsleybeam-request-id: {request_id}\r\n\
-         parsleybeam-response-signature: {SIGNATURE}\r\n{leaving}\
+         parsleybeam-response-signature: {SIGNATURE}\r\n{words}\
          content-type: text/event-stream\r\ntransfer-encoding: chunked\r\n\r\n"
     );
     out.write_all(head.as_bytes())?;
