Keep to the limits that upstreams name, over all VMs (LIMIT)

Tokens of organisations move from peers.rs to token.rs, buckets from rate.rs to bucket.rs and the choice of an upstream from exchange.rs to selection.rs, unchanged.

--- a/src/serve/context.rs
+++ b/src/serve/context.rs
@@ -1,8 +1,8 @@
 //! State shared by all parts of the serving path.
 
-use std::cell::{Cell, RefCell};
+use std::cell::{Cell, OnceCell, RefCell};
 use std::collections::HashMap;
-use std::rc::Rc;
+use std::rc::{Rc, Weak};
 use std::sync::Arc;
 
 use rand::{Rng, SeedableRng};
@@ -13,6 +13,7 @@
 use super::configuration::Configuration;
 use super::crash::Crashes;
 use super::jobs::Pending;
+use super::limit::Gate;
 use super::member::{self, Member};
 use super::origin::{History, Origin, Origins};
 use super::place::Contender;
@@ -85,6 +86,7 @@
     pub load_changed: Notify,
     /// Notified when any load has changed or an item may be ready to run.
     pub work_changed: Notify,
+    gate: OnceCell<Weak<dyn Gate>>,
     random: RefCell<ChaCha8Rng>,
 }
 
@@ -128,6 +130,7 @@
             stream_begun: Notify::new(),
             load_changed: Notify::new(),
             work_changed: Notify::new(),
+            gate: OnceCell::new(),
         })
     }
 
@@ -146,6 +149,17 @@
         self.random.borrow_mut().random()
     }
 
+    /// Sets who grants requests to upstreams that have named a limit, once.
+    pub fn set_gate(&self, gate: Weak<dyn Gate>) {
+        let is_first = self.gate.set(gate).is_ok();
+        debug_assert!(is_first, "the gate is set once");
+    }
+
+    /// Who grants requests to upstreams that have named a limit.
+    pub fn gate(&self) -> Option<Rc<dyn Gate>> {
+        self.gate.get()?.upgrade()
+    }
+
     /// The current configuration; none before the first read.
     pub fn configuration(&self) -> Option<Arc<Configuration>> {
         self.view.borrow().configuration.clone()
@@ -175,13 +189,10 @@
             Use::Online => entry.own.online += 1,
             Use::Batch => entry.own.batch += 1,
         }
-        if entry.limit_per_s.is_some() {
-            metrics::counter!("serve_limited_sends_total", "use" => kind.as_str()).increment(1);
-        }
         let slot = Slot {
             key,
             kind,
-            taken_at: self.now(),
+            taken_at: Cell::new(self.now()),
             free: entry.load().total() <= entry.registration.slots,
             answered: Cell::new(false),
             upstream: entry.registration.upstream.clone(),
--- a/src/serve/datagram.rs
+++ b/src/serve/datagram.rs
@@ -20,7 +20,7 @@
     #[prost(fixed64, tag = "2")]
     pub incarnation: u64,
     /// The message.
-    #[prost(oneof = "Content", tags = "3, 4, 5, 6, 7, 8, 9, 10, 11")]
+    #[prost(oneof = "Content", tags = "3, 4, 5, 6, 7, 8, 9, 10, 11, 12")]
     pub content: Option<Content>,
 }
 
@@ -33,7 +33,7 @@
     /// Request for a rate-limit token.
     #[prost(message, tag = "4")]
     TokenRequest(TokenRequest),
-    /// Response to a `TokenRequest`.
+    /// Response to a `TokenRequest` or a `SendRequest`.
     #[prost(message, tag = "5")]
     Grant(Grant),
     /// A job was cancelled by another VM: its owner stops running it.
@@ -54,6 +54,9 @@
     /// Response to an `OriginRequest`.
     #[prost(message, tag = "11")]
     OriginReply(OriginReply),
+    /// Request to grant a send to an upstream that has named a limit.
+    #[prost(message, tag = "12")]
+    SendRequest(SendRequest),
 }
 
 /// Load report: the sender's running requests at all upstreams where it has any.
@@ -83,6 +86,30 @@
     /// Processes of upstreams that lately told the sender that they leave.
     #[prost(message, repeated, tag = "8")]
     pub leaving: Vec<Leaving>,
+    /// Processes of upstreams that lately told the sender of their limits, or that it
+    /// granted requests for.
+    #[prost(message, repeated, tag = "9")]
+    pub limited: Vec<Limited>,
+}
+
+/// A process of an upstream that has named a limit, now or before.
+#[derive(Clone, Copy, PartialEq, Message)]
+pub struct Limited {
+    /// Number of the upstream, as given by `upstream::number`.
+    #[prost(fixed32, tag = "1")]
+    pub upstream: u32,
+    /// Start time of the process, as a Unix time in milliseconds.
+    #[prost(fixed64, tag = "2")]
+    pub started_unix_ms: u64,
+    /// Its limit, in requests per second; none if its last answer named none.
+    #[prost(double, optional, tag = "3")]
+    pub per_s: Option<f64>,
+    /// Time since that answer, in milliseconds.
+    #[prost(uint32, tag = "4")]
+    pub age_ms: u32,
+    /// Requests that the sender's process has granted, modulo 2^32.
+    #[prost(uint32, tag = "5")]
+    pub granted: u32,
 }
 
 /// A process of an upstream that leaves.
@@ -124,7 +151,18 @@
     pub organisation: String,
 }
 
-/// The response to a `TokenRequest`.
+/// Requests to grant one send to an upstream that has named a limit.
+#[derive(Clone, Copy, PartialEq, Message)]
+pub struct SendRequest {
+    /// Random identifier that the response repeats.
+    #[prost(uint64, tag = "1")]
+    pub request_id: u64,
+    /// The upstream's process, with what the sender knows of its limit.
+    #[prost(message, optional, tag = "2")]
+    pub limited: Option<Limited>,
+}
+
+/// The response to a `TokenRequest` or a `SendRequest`.
 #[derive(Clone, PartialEq, Message)]
 pub struct Grant {
     /// Identifier of the request.
@@ -136,7 +174,7 @@
     /// Whether the sender is not the holder of the bucket.
     #[prost(bool, tag = "3")]
     pub not_holder: bool,
-    /// Time until the next token is expected, in milliseconds.
+    /// Time until the next one is expected, in milliseconds.
     #[prost(uint64, tag = "4")]
     pub wait_ms: u64,
 }
--- a/src/serve/departure.rs
+++ b/src/serve/departure.rs
@@ -8,7 +8,7 @@
 use std::collections::HashMap;
 use std::time::Duration;
 
-use super::datagram::Leaving;
+use super::datagram::{Leaving, Limited};
 use super::upstream::number;
 use crate::clock::Time;
 use crate::id::Upstream;
@@ -41,6 +41,12 @@
     }
 }
 
+impl From<Limited> for Process {
+    fn from(row: Limited) -> Self {
+        Self { number: row.upstream, started_unix_ms: row.started_unix_ms }
+    }
+}
+
 #[derive(Clone, Copy, Debug)]
 struct Departure {
     /// When this VM learnt of it.
--- a/src/serve/exchange.rs
+++ b/src/serve/exchange.rs
@@ -19,7 +19,6 @@
 use super::crash::{self, Broken};
 use super::origin::{Origin, Stream};
 use super::peers::Peers;
-use super::place::{self, Choice, Criteria};
 use super::protocol::{Head, Metadata, Request};
 use super::rate::Grant;
 use super::record::Record;
@@ -29,6 +28,7 @@
 };
 use super::relay::Relay;
 use super::resume;
+use super::selection::{self, Patience};
 use super::slot::Slot;
 use super::upstream::Use;
 use crate::clock::Time;
@@ -42,14 +42,9 @@
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(120);
 /// Wait for a response head after which a retryable request goes to another upstream.
 const HEAD_TIMEOUT: Duration = Duration::from_millis(1_200);
-/// Refusals by upstreams after which a request is refused.
-const MAX_REFUSALS: usize = 4;
-/// Pause before the next selection when no upstream is usable.
-const SELECT_RETRY_PAUSE: Duration = Duration::from_millis(40);
-/// Maximum time to wait for a usable upstream.
-const SELECT_TIMEOUT: Duration = Duration::from_millis(250);
 /// Maximum size of a response that is not a stream, in bytes.
 const MAX_RESPONSE_BYTES: usize = 8 << 20;
+
 /// A response to the caller.
 pub struct Reply {
     /// HTTP status code.
@@ -283,28 +278,13 @@
     resume: Option<u64>,
     record: &mut Record,
 ) -> Result<Sent> {
-    let mut refusals = 0;
-    let select_until = context.now().after(SELECT_TIMEOUT);
+    let mut patience = Patience::new(context, admitted, resume.is_some());
     loop {
         check_deadline_and_contact(context, admitted, history)?;
         check_quarantine(context, admitted, history)?;
         check_version(context, admitted, history)?;
-        let Some(choice) = select(context, admitted, history) else {
-            if !history.tried.is_empty() && refusals < MAX_REFUSALS {
-                history.tried.clear();
-                refusals += 1;
-            } else if context.table.borrow().all_leave(&admitted.service) {
-                let detail = format!("all upstreams of {} leave", admitted.service);
-                return Err(no_upstream_error(context, history, Kind::NoUpstream, &detail));
-            } else if select_until.passed(context.now()) {
-                return Err(no_upstream_error(
-                    context,
-                    history,
-                    Kind::NoUpstream,
-                    "no upstream is usable",
-                ));
-            }
-            tokio::time::sleep(SELECT_RETRY_PAUSE).await;
+        let Some(choice) = selection::select(context, admitted, history) else {
+            selection::wait(context, admitted, history, &mut patience).await?;
             continue;
         };
         // A stream that is resumed has already cost its callers and upstreams time.
@@ -312,6 +292,10 @@
             check_latency(context, admitted, &choice)?;
         }
         let Some(slot) = context.take_slot(choice.key, Use::Online) else { continue };
+        if !slot.admit().await {
+            record.at_limit.push(slot.upstream.to_string());
+            continue;
+        }
         record.record_attempt(&slot);
         record.expected_ms = choice.expected_ms;
         let (upstream, request) =
@@ -345,8 +329,7 @@
                 slot.record_failure("another upstream uses its address");
             }
             history.tried.push(upstream);
-            refusals += 1;
-            if refusals >= MAX_REFUSALS {
+            if patience.record_refusal() {
                 return Err(no_upstream_error(
                     context,
                     history,
@@ -450,17 +433,6 @@
     Err(Error::new(Kind::OutcomeUnknown, format!("the upstream may have run it: {reason}")))
 }
 
-fn select(context: &Context, admitted: &Admitted, history: &History) -> Option<Choice> {
-    let criteria = Criteria {
-        service: &admitted.service,
-        version: admitted.version.as_ref(),
-        data_centre: &context.member.data_centre,
-        tried: &history.tried,
-        tie_breaker: context.random(),
-    };
-    place::online(&context.table.borrow(), criteria, context.now())
-}
-
 /// How long to wait for the response head.
 fn head_timeout(context: &Context, admitted: &Admitted, history: &History) -> Duration {
     let remaining = context.now().until(admitted.deadline);
--- /dev/null
+++ b/src/serve/gate.rs
@@ -0,0 +1,164 @@
+//! Grants of sends to upstreams that have named a limit, and what VMs tell each other of
+//! limits.
+
+use std::time::Duration;
+
+use futures_util::FutureExt;
+use futures_util::future::LocalBoxFuture;
+
+use super::datagram::{Content, Grant, Limited, SendRequest};
+use super::departure::Process;
+use super::limit::{Admission, Gate, Granted, Row, Word};
+use super::member::{Member, rank};
+use super::peers::{Peers, SILENT_AFTER};
+use crate::emit;
+use crate::event::Event;
+use crate::id::Vm;
+
+/// Number of VMs that are asked for one send.
+const MAX_ASKED: usize = 2;
+/// Time for which a VM that didn't answer isn't asked.
+const UNANSWERED_PAUSE: Duration = Duration::from_millis(500);
+/// Time for which an upstream gets no requests after no VM could be asked.
+const NO_ANSWER_PAUSE: Duration = Duration::from_millis(200);
+
+impl Gate for Peers {
+    fn admit(&self, process: Process) -> LocalBoxFuture<'_, Admission> {
+        self.admit_send(process).boxed_local()
+    }
+}
+
+impl Peers {
+    async fn admit_send(&self, process: Process) -> Admission {
+        let granters = self.granters(process);
+        for granter in granters.iter().take(MAX_ASKED) {
+            if &granter.vm == self.context().vm() {
+                return self.grant_here(process);
+            }
+            let request = |request_id| {
+                let limited = self.limited_row(process);
+                Content::SendRequest(SendRequest { request_id, limited })
+            };
+            match self.ask(granter.peer, request).await {
+                Some(Grant { granted: true, .. }) => return Admission::Granted,
+                Some(Grant { wait_ms, .. }) => {
+                    let wait = Duration::from_millis(wait_ms);
+                    return Admission::Denied(self.context().now().after(wait));
+                }
+                None => self.record_unanswered(&granter.vm),
+            }
+        }
+        if granters.is_empty() {
+            return self.grant_here(process);
+        }
+        Admission::Denied(self.context().now().after(NO_ANSWER_PAUSE))
+    }
+
+    /// VMs that may grant sends to a process, the first one being who does so for all.
+    fn granters(&self, process: Process) -> Vec<Member> {
+        let (context, now) = (self.context(), self.context().now());
+        let name = format!("{:08x} {}", process.number, process.started_unix_ms);
+        let unanswered = self.unanswered.borrow();
+        let is_asked = |member: &&Member| {
+            &member.vm == context.vm()
+                || !self.is_silent(&member.vm, SILENT_AFTER)
+                    && unanswered.get(&member.vm).is_none_or(|until| until.passed(now))
+        };
+        let view = context.view.borrow();
+        let members = view.members.iter().map(|listed| &listed.member);
+        let mut granters: Vec<Member> =
+            members.filter(|member| !member.leaving).filter(is_asked).cloned().collect();
+        granters.sort_by_key(|member| std::cmp::Reverse(rank(&member.vm, &name)));
+        granters
+    }
+
+    fn record_unanswered(&self, vm: &Vm) {
+        let now = self.context().now();
+        let mut unanswered = self.unanswered.borrow_mut();
+        unanswered.retain(|_, until| !until.passed(now));
+        unanswered.insert(vm.clone(), now.after(UNANSWERED_PAUSE));
+    }
+
+    fn grant_here(&self, process: Process) -> Admission {
+        let (heard_share, now) = (self.heard_share(), self.context().now());
+        let mut table = self.context().table.borrow_mut();
+        table.limits_mut().grant(process, heard_share, now)
+    }
+
+    /// Part of the members that this VM hears, itself included.
+    fn heard_share(&self) -> f64 {
+        let view = self.context().view.borrow();
+        let staying = view.members.iter().map(|listed| &listed.member);
+        let (mut all, mut heard) = (0_u32, 0_u32);
+        for member in staying.filter(|member| !member.leaving) {
+            let is_own = &member.vm == self.context().vm();
+            all += 1;
+            heard += u32::from(is_own || !self.is_silent(&member.vm, SILENT_AFTER));
+        }
+        if all == 0 { 1.0 } else { f64::from(heard) / f64::from(all) }
+    }
+
+    /// Answers another VM's request to grant a send.
+    pub(super) fn grant_send(&self, vm: &str, request: &SendRequest) -> Grant {
+        let request_id = request.request_id;
+        let Some(limited) = request.limited else {
+            return Grant { request_id, not_holder: true, ..Grant::default() };
+        };
+        self.record_word(vm, &limited);
+        match self.grant_here(Process::from(limited)) {
+            Admission::Granted => Grant { request_id, granted: true, ..Grant::default() },
+            Admission::Denied(until) => {
+                let wait_ms = self.context().now().until(until).as_millis() as u64;
+                Grant { request_id, wait_ms, ..Grant::default() }
+            }
+        }
+    }
+
+    fn limited_row(&self, process: Process) -> Option<Limited> {
+        let word = self.context().table.borrow().limits().word(process)?;
+        Some(self.encode(Row { process, word, granted: 0 }))
+    }
+
+    fn encode(&self, row: Row) -> Limited {
+        Limited {
+            upstream: row.process.number,
+            started_unix_ms: row.process.started_unix_ms,
+            per_s: row.word.per_s,
+            age_ms: row.word.at.age_millis(self.context().now()),
+            granted: row.granted,
+        }
+    }
+
+    /// What this VM tells the others of limits.
+    pub(super) fn limited(&self) -> Vec<Limited> {
+        let table = self.context().table.borrow();
+        table.limits().report(self.context().now()).map(|row| self.encode(row)).collect()
+    }
+
+    /// Records what another VM tells of limits.
+    pub(super) fn record_limited(&self, vm: &Vm, incarnation: u64, rows: &[Limited]) {
+        let now = self.context().now();
+        for row in rows {
+            self.record_word(vm.as_str(), row);
+            let granted = Granted { incarnation, count: row.granted };
+            let mut table = self.context().table.borrow_mut();
+            table.limits_mut().record_granted(Process::from(*row), vm, granted, now);
+        }
+    }
+
+    fn record_word(&self, vm: &str, row: &Limited) {
+        let (context, now) = (self.context(), self.context().now());
+        let word = Word { per_s: row.per_s, at: now.before_millis(row.age_ms) };
+        let process = Process::from(*row);
+        if !context.table.borrow_mut().record_limit(process, word, false, now) {
+            return;
+        }
+        let table = context.table.borrow();
+        let upstream = table.name(process).map(ToString::to_string).unwrap_or_default();
+        emit!(context.log, Event::UpstreamLimited, "upstream" => upstream, "told_by" => vm,
+            "limit_per_s" => row.per_s.unwrap_or(-1.0), "age_ms" => row.age_ms);
+        metrics::counter!("serve_limits_learnt_total", "told_by" => "peer").increment(1);
+        drop(table);
+        context.work_changed.notify_one();
+    }
+}
--- a/src/serve/jobs/job.rs
+++ b/src/serve/jobs/job.rs
@@ -21,6 +21,8 @@
 const BROKEN_BACKOFF: Duration = Duration::from_millis(100);
 /// Delay before an item that was interrupted by online requests may run again.
 const INTERRUPTION_BACKOFF: Duration = Duration::from_millis(60);
+/// Delay before an item that its upstream's limit left no room for may run elsewhere.
+const AT_LIMIT_BACKOFF: Duration = Duration::from_millis(30);
 /// Number of crashes of upstreams under an item from which on it pauses longer.
 const CRASHES_BEFORE_PAUSE: u32 = 3;
 /// Delay before such an item is retried.
@@ -53,12 +55,14 @@
     Broken,
     /// The backoff after its upstream crashed.
     Crashed,
+    /// The backoff after its upstream was at the limit that it named.
+    AtLimit,
 }
 
 impl Cause {
     /// All causes.
-    pub const ALL: [Self; 5] =
-        [Self::Slot, Self::Failed, Self::Interrupted, Self::Broken, Self::Crashed];
+    pub const ALL: [Self; 6] =
+        [Self::Slot, Self::Failed, Self::Interrupted, Self::Broken, Self::Crashed, Self::AtLimit];
 
     /// Value for metrics.
     pub fn as_str(self) -> &'static str {
@@ -68,6 +72,7 @@
             Cause::Interrupted => "interrupted",
             Cause::Broken => "broken",
             Cause::Crashed => "crashed",
+            Cause::AtLimit => "at limit",
         }
     }
 }
@@ -298,6 +303,9 @@
             AttemptOutcome::Interrupted(progress) => {
                 State::waiting(progress, Cause::Interrupted, now, INTERRUPTION_BACKOFF)
             }
+            AttemptOutcome::AtLimit(progress) => {
+                State::waiting(progress, Cause::AtLimit, now, AT_LIMIT_BACKOFF)
+            }
             AttemptOutcome::Broken(progress) => {
                 State::waiting(progress, Cause::Broken, now, self.broken_backoff(index))
             }
--- a/src/serve/jobs/run.rs
+++ b/src/serve/jobs/run.rs
@@ -64,6 +64,8 @@
     Broken(Progress),
     /// The upstream crashed.
     Crashed(Progress),
+    /// The item wasn't sent: the upstream is at the limit that it named.
+    AtLimit(Progress),
 }
 
 impl AttemptOutcome {
@@ -75,7 +77,8 @@
             AttemptOutcome::Failed(progress)
             | AttemptOutcome::Interrupted(progress)
             | AttemptOutcome::Broken(progress)
-            | AttemptOutcome::Crashed(progress) => progress.events.len(),
+            | AttemptOutcome::Crashed(progress)
+            | AttemptOutcome::AtLimit(progress) => progress.events.len(),
         }
     }
 
@@ -88,6 +91,7 @@
             AttemptOutcome::Interrupted(_) => "interrupted",
             AttemptOutcome::Broken(_) => "broken",
             AttemptOutcome::Crashed(_) => "crashed",
+            AttemptOutcome::AtLimit(_) => "at limit",
         }
     }
 }
@@ -118,6 +122,7 @@
         }
         Some(End::Broken) => AttemptOutcome::Broken(progress),
         Some(End::Crashed) => AttemptOutcome::Crashed(progress),
+        Some(End::AtLimit) => AttemptOutcome::AtLimit(progress),
     }
 }
 
@@ -127,6 +132,7 @@
     Failed,
     Broken,
     Crashed,
+    AtLimit,
 }
 
 struct Attempt<'a> {
@@ -139,6 +145,9 @@
 
 impl Attempt<'_> {
     async fn run(&mut self) -> End {
+        if !self.slot.admit().await {
+            return End::AtLimit;
+        }
         let send = self.context.pool.send(self.slot.address, self.request(), CONNECT_TIMEOUT);
         let answer = match tokio::time::timeout(IDLE_TIMEOUT, send).await {
             Ok(Ok(answer)) => answer,
--- a/src/serve/limit.rs
+++ b/src/serve/limit.rs
@@ -2,16 +2,40 @@
 //! from all VMs together.
 //!
 //! A limit stands until a later answer of the process names another one or none,
-//! or the upstream's entry shows another process.
+//! or the upstream's entry shows another process. VMs tell each other of it in
+//! load reports. Each request to such a process must be granted before it is sent, by one
+//! VM, chosen by rendezvous hashing among the members that are heard.
+//!
+//! VMs may disagree for a while on which VM that is: one was lost, cut off or
+//! frozen. So each VM keeps a bucket for each process, reports how many requests
+//! it has granted, and removes from its bucket what others report; and a VM that
+//! doesn't hear all members grants only its part of the limit. Nothing of this
+//! needs the store.
 
 use std::collections::HashMap;
 use std::time::Duration;
 
+use futures_util::future::LocalBoxFuture;
+
+use super::bucket::Bucket;
 use super::departure::Process;
 use crate::clock::Time;
+use crate::id::Vm;
 
 /// Time after the last word of a process for which it is remembered.
 const RETENTION: Duration = Duration::from_secs(600);
+/// Time for which this VM reports what a process told it, and what it granted.
+const REPORTED_FOR: Duration = Duration::from_secs(10);
+/// Lowest rate of grants, in requests per second: an answer tells when a limit has ended.
+const MIN_PER_S: f64 = 0.2;
+/// Requests that may be granted at once, on top of those of `BURST_S`.
+const MIN_BURST: f64 = 2.0;
+/// Part of the burst that grows with the limit, in seconds of it.
+const BURST_S: f64 = 0.25;
+/// Shortest time for which a VM sends no requests to a process after one was denied.
+const MIN_WAIT: Duration = Duration::from_millis(10);
+/// Longest such time.
+const MAX_WAIT: Duration = Duration::from_secs(1);
 
 /// What an answer said of the limit.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -22,31 +46,152 @@
     pub at: Time,
 }
 
+/// Whether a request may be sent.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Admission {
+    /// It may be sent now.
+    Granted,
+    /// Not before this time, and then only if it is granted.
+    Denied(Time),
+}
+
+/// Who is asked whether a request may be sent to a process that has named a limit.
+pub trait Gate {
+    /// Asks for one request.
+    fn admit(&self, process: Process) -> LocalBoxFuture<'_, Admission>;
+}
+
+/// Number of requests that a VM's process has granted.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Granted {
+    /// Incarnation of the VM's process.
+    pub incarnation: u64,
+    /// Requests granted since its start, modulo 2^32.
+    pub count: u32,
+}
+
+#[derive(Clone, Debug)]
+struct State {
+    word: Word,
+    /// When the process last told this VM itself.
+    told_at: Option<Time>,
+    bucket: Bucket,
+    granted: u32,
+    granted_at: Option<Time>,
+    /// Latest time for which a VM whose request was denied was told to ask again.
+    last_turn: Time,
+    /// What other VMs have granted, as far as it was removed from `bucket`.
+    removed: HashMap<Vm, Granted>,
+}
+
+impl State {
+    fn is_reported(&self, now: Time) -> bool {
+        let is_recent = |at: Option<Time>| at.is_some_and(|at| !at.after(REPORTED_FOR).passed(now));
+        is_recent(self.told_at) || is_recent(self.granted_at)
+    }
+}
+
+/// What this VM reports of a process.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Row {
+    /// The process.
+    pub process: Process,
+    /// Its last word.
+    pub word: Word,
+    /// Requests that this VM's process has granted, modulo 2^32.
+    pub granted: u32,
+}
+
 /// Limits of processes.
 #[derive(Clone, Debug, Default)]
 pub struct Limits {
-    processes: HashMap<Process, Word>,
+    states: HashMap<Process, State>,
 }
 
 impl Limits {
     /// Records what a process said, to this VM if `own`; whether this changes its limit.
     /// A word older than the last one is ignored.
-    pub fn record(&mut self, process: Process, word: Word, _own: bool, now: Time) -> bool {
-        let before = self.processes.get(&process).copied();
-        if before.is_some_and(|before| before.at > word.at) {
-            return false;
+    pub fn record(&mut self, process: Process, word: Word, own: bool, now: Time) -> bool {
+        if !self.states.contains_key(&process) {
+            if word.per_s.is_none() {
+                return false;
+            }
+            self.states.retain(|_, state| !state.word.at.after(RETENTION).passed(now));
         }
-        let per_s = before.and_then(|before| before.per_s);
-        if before.is_none() && word.per_s.is_none() {
+        let state = self.states.entry(process).or_insert_with(|| State {
+            word: Word { per_s: None, at: word.at },
+            told_at: None,
+            bucket: Bucket::new(0.0, now),
+            granted: 0,
+            granted_at: None,
+            last_turn: now,
+            removed: HashMap::new(),
+        });
+        if own {
+            state.told_at = Some(now);
+        }
+        if state.word.at > word.at {
             return false;
         }
-        self.processes.retain(|_, word| !word.at.after(RETENTION).passed(now));
-        self.processes.insert(process, word);
-        per_s != word.per_s
+        let before = state.word.per_s;
+        state.word = word;
+        before != word.per_s
     }
 
     /// Limit of a process, in requests per second; none if it names none.
     pub fn per_s(&self, process: Process) -> Option<f64> {
-        self.processes.get(&process)?.per_s
+        self.states.get(&process)?.word.per_s
+    }
+
+    /// Last word of a process; none if it has never named a limit.
+    pub fn word(&self, process: Process) -> Option<Word> {
+        self.states.get(&process).map(|state| state.word)
+    }
+
+    /// Grants or denies a request; `heard_share` is the part of all members that this VM
+    /// hears, itself included. VMs that are denied are told to ask again one after the
+    /// other, as requests can be granted.
+    pub fn grant(&mut self, process: Process, heard_share: f64, now: Time) -> Admission {
+        let Some(state) = self.states.get_mut(&process) else { return Admission::Granted };
+        let Some(per_s) = state.word.per_s else { return Admission::Granted };
+        let per_s = per_s.max(MIN_PER_S) * heard_share;
+        match state.bucket.take(per_s, burst(per_s), now) {
+            Ok(()) => {
+                state.granted = state.granted.wrapping_add(1);
+                state.granted_at = Some(now);
+                Admission::Granted
+            }
+            Err(wait) => {
+                let turn = state.last_turn.after(Duration::from_secs_f64(1.0 / per_s));
+                let next = now.after(wait.max(MIN_WAIT)).max(turn).min(now.after(MAX_WAIT));
+                state.last_turn = next;
+                Admission::Denied(next)
+            }
+        }
+    }
+
+    /// Removes what another VM reports to have granted from this VM's bucket.
+    pub fn record_granted(&mut self, process: Process, vm: &Vm, granted: Granted, now: Time) {
+        let Some(state) = self.states.get_mut(&process) else { return };
+        let last = state.removed.insert(vm.clone(), granted);
+        let last = last.filter(|last| last.incarnation == granted.incarnation);
+        let count = granted.count.wrapping_sub(last.map_or(0, |last| last.count));
+        let per_s = state.word.per_s.unwrap_or_default().max(MIN_PER_S);
+        state.bucket.remove(f64::from(count), per_s, burst(per_s), now);
     }
+
+    /// What this VM reports to the others.
+    pub fn report(&self, now: Time) -> impl Iterator<Item = Row> {
+        let reported = self.states.iter().filter(move |(_, state)| state.is_reported(now));
+        reported.map(|(process, state)| Row {
+            process: *process,
+            word: state.word,
+            granted: state.granted,
+        })
+    }
+}
+
+/// Most requests that are granted at once at a limit of `per_s`.
+fn burst(per_s: f64) -> f64 {
+    MIN_BURST + BURST_S * per_s
 }
--- a/src/serve/mod.rs
+++ b/src/serve/mod.rs
@@ -10,12 +10,14 @@
 //! | concern | logic | I/O |
 //! |---|---|---|
 //! | upstream selection and load shedding | `place`, `departure` | `exchange` |
-//! | rate limits | `rate` | `peers` |
+//! | rate limits of organisations | `rate` | `token` |
+//! | limits that upstreams name | `limit` | `gate` |
 //! | order and resumption of streams | `event`, `origin` | `relay`, `peers` |
 //! | items, results, positions | `jobs::Job` | `jobs::Jobs` |
 //! | membership and ownership | `member` | `poller` |
 //! | access to the store | `channel` | `channel`, `reader` |
 
+mod bucket;
 pub mod channel;
 pub mod configuration;
 pub mod context;
@@ -25,7 +27,9 @@
 pub mod event;
 pub mod exchange;
 pub mod frontend;
+mod gate;
 mod gauge;
+mod grant;
 pub mod internal;
 pub mod jobs;
 pub mod limit;
@@ -42,6 +46,8 @@
 mod refusal;
 pub mod relay;
 pub mod resume;
+mod selection;
 pub mod slot;
 pub mod store;
+mod token;
 pub mod upstream;
--- a/src/serve/peers.rs
+++ b/src/serve/peers.rs
@@ -3,24 +3,21 @@
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::net::SocketAddr;
-use std::rc::Rc;
+use std::rc::{Rc, Weak};
 use std::time::Duration;
 
 use prost::Message;
 use tokio::net::UdpSocket;
-use tokio::sync::oneshot;
 
 use super::channel::Relays;
-use super::configuration::Tenant;
 use super::context::{Context, View};
-use super::datagram::{
-    Changed, Content, Datagram, Grant, Leaving, Load, Opened, Row, TokenRequest,
-};
+use super::datagram::{Changed, Content, Datagram, Leaving, Load, Opened, Row};
 use super::departure::Process;
+use super::grant;
 use super::jobs::{Jobs, Pending};
-use super::member::{Member, owner};
+use super::limit::Gate;
+use super::member::Member;
 use super::place::Contender;
-use super::rate;
 use super::resume;
 use super::upstream::{self, PeerLoad};
 use crate::clock::Time;
@@ -40,7 +37,7 @@
 const SMALL_FLEET: usize = 12;
 /// Time without a load report after which a peer's load isn't counted and its address
 /// isn't given to callers.
-const SILENT_AFTER: Duration = Duration::from_millis(1_200);
+pub(super) const SILENT_AFTER: Duration = Duration::from_millis(1_200);
 /// Time without a load report after which a peer's entry is removed from the store.
 const GONE_AFTER: Duration = Duration::from_millis(2_200);
 /// The same while most other peers are silent too, so that this VM may be the one cut off.
@@ -50,11 +47,6 @@
 /// Time after which the entry of a peer that reports the store as unreachable is removed
 /// by a VM that can reach it.
 const REMOVE_UNREACHABLE_AFTER: Duration = Duration::from_millis(300);
-/// Timeout of each of `TOKEN_REQUEST_ATTEMPTS` requests for a token.
-const TOKEN_REQUEST_TIMEOUT: Duration = Duration::from_millis(40);
-/// Number of requests for one token before the reserve is used.
-const TOKEN_REQUEST_ATTEMPTS: usize = 2;
-
 /// Latest load report of a peer.
 #[derive(Clone, Debug)]
 struct PeerState {
@@ -83,7 +75,9 @@
     context: Rc<Context>,
     socket: UdpSocket,
     states: RefCell<HashMap<Vm, PeerState>>,
-    token_requests: RefCell<HashMap<u64, oneshot::Sender<Grant>>>,
+    pub(super) grant_requests: grant::Requests,
+    /// VMs that didn't answer a request for a grant, with the time until which they aren't asked.
+    pub(super) unanswered: RefCell<HashMap<Vm, Time>>,
     pub(super) origin_requests: resume::Requests,
     sequence: Cell<u64>,
     started: Time,
@@ -94,16 +88,21 @@
     /// Creates the state before any datagram was received; `relays` is kept up to date.
     pub fn new(context: Rc<Context>, socket: UdpSocket, relays: Relays) -> Rc<Self> {
         let started = context.now();
-        Rc::new(Self {
+        let gate = context.clone();
+        let peers = Rc::new(Self {
             context,
             socket,
             states: RefCell::default(),
-            token_requests: RefCell::default(),
+            grant_requests: grant::Requests::default(),
+            unanswered: RefCell::default(),
             origin_requests: resume::Requests::default(),
             sequence: Cell::new(0),
             started,
             relays,
-        })
+        });
+        let weak: Weak<dyn Gate> = Rc::downgrade(&(peers.clone() as Rc<dyn Gate>));
+        gate.set_gate(weak);
+        peers
     }
 
     /// State of the serving path.
@@ -160,6 +159,7 @@
             ejected,
             items_in_time,
             leaving: self.leaving(),
+            limited: self.limited(),
         };
         self.broadcast(Content::Load(load));
     }
@@ -184,10 +184,9 @@
                 continue;
             }
             let table = self.context.table.borrow();
-            let entry = table.iter().find(|(_, entry)| entry.number == process.number);
-            let upstream = entry.map(|(_, entry)| entry.registration.upstream.to_string());
+            let upstream = table.name(process).map(ToString::to_string).unwrap_or_default();
             emit!(self.context.log, Event::UpstreamLeaving,
-                "upstream" => upstream.unwrap_or_default(), "told_by" => vm,
+                "upstream" => upstream, "told_by" => vm,
                 "age_ms" => row.age_ms);
             metrics::counter!("serve_upstreams_leaving_total", "told_by" => "peer").increment(1);
         }
@@ -262,16 +261,14 @@
                 self.record_load(Vm::from(datagram.vm), datagram.incarnation, from, load);
             }
             Some(Content::TokenRequest(request)) => {
-                let grant = self.grant(&request);
+                let grant = self.grant_token(&request);
                 self.send_to(Content::Grant(grant), from);
             }
-            Some(Content::Grant(grant)) => {
-                let waiting = self.token_requests.borrow_mut().remove(&grant.request_id);
-                if let Some(waiting) = waiting {
-                    // The requester may have stopped waiting meanwhile.
-                    let _ = waiting.send(grant);
-                }
+            Some(Content::SendRequest(request)) => {
+                let grant = self.grant_send(&datagram.vm, &request);
+                self.send_to(Content::Grant(grant), from);
             }
+            Some(Content::Grant(grant)) => self.grant_requests.deliver(grant),
             Some(Content::Changed(changed)) => {
                 jobs.drop_job(&changed.job, "another VM cancelled the job")
             }
@@ -295,7 +292,7 @@
 
     fn record_load(&self, vm: Vm, incarnation: u64, address: SocketAddr, load: Load) {
         let now = self.context.now();
-        let mut states = self.states.borrow_mut();
+        let states = self.states.borrow();
         if let Some(last) = states.get(&vm)
             && last.incarnation == incarnation
             && last.sequence >= load.sequence
@@ -305,6 +302,9 @@
         if states.get(&vm).is_none_or(|last| last.incarnation != incarnation) {
             self.send_crashes(address);
         }
+        drop(states);
+        self.record_limited(&vm, incarnation, &load.limited);
+        let mut states = self.states.borrow_mut();
         let (sequence, rows, serving) = (load.sequence, load.rows, load.serving);
         let before = states.get(&vm).and_then(|last| last.store_unreachable_since);
         let store_unreachable_since =
@@ -370,69 +370,6 @@
         *self.relays.borrow_mut() = reachable.map(|member| member.relay).collect();
     }
 
-    fn grant(&self, request: &TokenRequest) -> Grant {
-        let organisation = request.organisation.as_str().into();
-        let configuration = self.context.configuration();
-        let tenant = configuration.as_ref().and_then(|current| current.tenant(&organisation));
-        let grant = tenant.map_or(rate::Grant::NotHolder, |tenant| {
-            self.context.limiter.borrow_mut().grant(tenant, self.context.now())
-        });
-        let (granted, not_holder, wait_ms) = match grant {
-            rate::Grant::Granted => (true, false, 0),
-            rate::Grant::NotHolder => (false, true, 0),
-            rate::Grant::Exceeded(wait) => (false, false, wait.as_millis() as u64),
-        };
-        Grant { request_id: request.request_id, granted, not_holder, wait_ms }
-    }
-
-    /// Takes a token of an organisation; also returns the source of the token.
-    pub async fn take_token(&self, tenant: &Tenant) -> (rate::Grant, &'static str) {
-        let own = self.context.limiter.borrow_mut().take_local(tenant, self.context.now());
-        if own == rate::Grant::Granted {
-            return (own, "own piece");
-        }
-        let holder = {
-            let view = self.context.view.borrow();
-            owner(&view.members, tenant.organisation.as_str()).cloned()
-        };
-        let answer = match holder {
-            Some(member) if &member.vm == self.context.vm() => {
-                let grant = self.context.limiter.borrow_mut().grant(tenant, self.context.now());
-                (grant, "own bucket")
-            }
-            Some(member) => (self.request_token(&member, tenant).await, "holder"),
-            None => (rate::Grant::NotHolder, "no holder"),
-        };
-        if answer.0 != rate::Grant::NotHolder {
-            return answer;
-        }
-        let grant = self.context.limiter.borrow_mut().take_reserve(tenant, self.context.now());
-        (grant, "reserve")
-    }
-
-    async fn request_token(&self, holder: &Member, tenant: &Tenant) -> rate::Grant {
-        if self.is_silent(&holder.vm, SILENT_AFTER) {
-            return rate::Grant::NotHolder;
-        }
-        for _ in 0..TOKEN_REQUEST_ATTEMPTS {
-            let request_id = self.context.random();
-            let (sender, receiver) = oneshot::channel();
-            self.token_requests.borrow_mut().insert(request_id, sender);
-            let organisation = tenant.organisation.to_string();
-            let request = Content::TokenRequest(TokenRequest { request_id, organisation });
-            self.send_to(request, holder.peer);
-            let answer = tokio::time::timeout(TOKEN_REQUEST_TIMEOUT, receiver).await;
-            self.token_requests.borrow_mut().remove(&request_id);
-            let Ok(Ok(grant)) = answer else { continue };
-            return match grant {
-                Grant { granted: true, .. } => rate::Grant::Granted,
-                Grant { not_holder: true, .. } => rate::Grant::NotHolder,
-                Grant { wait_ms, .. } => rate::Grant::Exceeded(Duration::from_millis(wait_ms)),
-            };
-        }
-        rate::Grant::NotHolder
-    }
-
     /// Announces to all other VMs that this one has accepted a job.
     pub fn announce_job(&self, job: &str, pending: Pending) {
         let opened = Opened { job: job.to_owned(), pending: Some(pending) };
--- a/src/serve/place.rs
+++ b/src/serve/place.rs
@@ -30,6 +30,10 @@
 /// Cost of such an upstream, in milliseconds: it is used only when the others are full.
 const PEER_FAILURE_PENALTY_MS: f64 = 250.0;
 
+/// Cost of an upstream that has named a limit, in milliseconds: below that of preempting an
+/// item. A batch item makes more of one request than an online request does, and leaves an
+/// online request a slot elsewhere.
+const LIMIT_COST_MS: f64 = 40.0;
 /// Cost of an upstream that this VM has ejected, in milliseconds: it is used only when no
 /// other can run the request.
 const EJECTED_PENALTY_MS: f64 = 100_000.0;
@@ -80,6 +84,7 @@
     };
     let usable = |(_, entry): &(Key, &Entry)| {
         sendable(entry)
+            && entry.is_open(now)
             && criteria.allows(entry)
             && !criteria.tried.contains(&entry.registration.upstream)
     };
@@ -104,6 +109,7 @@
             } else {
                 0.0
             };
+            let limit_ms = if entry.limit_per_s.is_some() { LIMIT_COST_MS } else { 0.0 };
             let ejected_ms = if entry.usable(now) { 0.0 } else { EJECTED_PENALTY_MS };
             let cost_ms = expected_ms
                 + tie_break_ms
@@ -111,6 +117,7 @@
                 + item_cost_ms
                 + history_ms
                 + penalty_ms
+                + limit_ms
                 + ejected_ms;
             (Choice { key, expected_ms, free }, cost_ms)
         })
@@ -118,6 +125,16 @@
         .map(|(choice, _)| choice)
 }
 
+/// Earliest time at which an upstream that is at its limit may take an online request; none
+/// if no usable upstream is at its limit.
+pub fn opens_at(table: &Table, criteria: Criteria<'_>, now: Time) -> Option<Time> {
+    let closed = table
+        .of_service(criteria.service)
+        .map(|(_, entry)| entry)
+        .filter(|entry| entry.usable(now) && criteria.allows(entry) && !entry.is_open(now));
+    closed.map(|entry| entry.closed_until).min()
+}
+
 /// Expected wait for a slot at an upstream, in milliseconds.
 fn wait_ms(entry: &Entry, timing: Timing) -> f64 {
     let load = entry.load();
@@ -174,7 +191,7 @@
         .filter(|entry| &entry.registration.version == version && entry.stays());
     let mut room = Room::Gone;
     for entry in of_version {
-        if entry.usable(now) && entry.free_slots() > 0 {
+        if takes_items(entry, now) && entry.free_slots() > 0 {
             return Room::Free;
         }
         room = Room::Full;
@@ -182,9 +199,14 @@
     room
 }
 
-/// Number of free slots at the usable upstreams of a service.
+/// Whether an upstream may take a batch item, if a slot is free.
+fn takes_items(entry: &Entry, now: Time) -> bool {
+    entry.usable(now) && entry.is_open(now)
+}
+
+/// Number of free slots at the upstreams of a service that take items.
 fn free_slots(table: &Table, service: &Service, now: Time) -> u32 {
-    let usable = table.of_service(service).filter(|(_, entry)| entry.usable(now));
+    let usable = table.of_service(service).filter(|(_, entry)| takes_items(entry, now));
     usable.map(|(_, entry)| entry.free_slots()).sum()
 }
 
@@ -207,7 +229,7 @@
     let chosen = table
         .of_service(criteria.service)
         .filter(|(_, entry)| {
-            entry.usable(now)
+            takes_items(entry, now)
                 && criteria.allows(entry)
                 && entry.peer_failures < MIN_PEER_FAILURES
                 && entry.free_slots() > 0
@@ -222,6 +244,7 @@
             let elsewhere = &entry.registration.data_centre != criteria.data_centre;
             let rank = (
                 tried,
+                entry.limit_per_s.is_none(),
                 entry.load().total(),
                 elsewhere,
                 criteria.tie_breaker as u32 ^ entry.number,
--- a/src/serve/rate.rs
+++ b/src/serve/rate.rs
@@ -22,6 +22,7 @@
 use std::collections::HashMap;
 use std::time::Duration;
 
+pub use super::bucket::Bucket;
 use super::configuration::Tenant;
 use super::member::{Listed, owner};
 use crate::clock::Time;
@@ -72,33 +73,6 @@
     NotHolder,
 }
 
-/// A token bucket.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub struct Bucket {
-    tokens: f64,
-    updated: Time,
-}
-
-impl Bucket {
-    /// Creates a bucket that holds `tokens` at `now`.
-    pub fn new(tokens: f64, now: Time) -> Self {
-        Self { tokens, updated: now }
-    }
-
-    /// Takes one token, or returns the time until one is available.
-    pub fn take(&mut self, rate_per_s: f64, burst: f64, now: Time) -> Result<(), Duration> {
-        let elapsed_s = self.updated.until(now).as_secs_f64();
-        self.tokens = (self.tokens + elapsed_s * rate_per_s).min(burst.max(1.0));
-        self.updated = now;
-        if self.tokens >= 1.0 {
-            self.tokens -= 1.0;
-            return Ok(());
-        }
-        let wait = (1.0 - self.tokens) / rate_per_s.max(0.01);
-        Err(Duration::from_secs_f64(wait.min(60.0)))
-    }
-}
-
 #[derive(Clone, Copy, Debug)]
 struct HeldBucket {
     /// Time from which tokens are granted.
--- a/src/serve/refusal.rs
+++ b/src/serve/refusal.rs
@@ -10,6 +10,7 @@
 use super::exchange::{Admitted, History};
 use super::place::{self, Choice, Room};
 use super::protocol::Head;
+use crate::clock::Time;
 use crate::error::{Error, Kind, Result};
 
 /// Minimum `Retry-After` of refused requests, in milliseconds.
@@ -62,6 +63,22 @@
     Error::new(kind, detail).retry_after(retry_after(context, 0))
 }
 
+/// Error of a request whose upstreams are all at the limits that they named; the first of
+/// them takes requests again at `opens_at`.
+pub(super) fn at_limit_error(
+    context: &Context,
+    admitted: &Admitted,
+    history: &History,
+    opens_at: Time,
+) -> Error {
+    let detail = format!("all usable upstreams of {} are at their limits", admitted.service);
+    if history.runs > 0 {
+        return Error::new(Kind::OutcomeUnknown, detail);
+    }
+    let wait_ms = context.now().until(opens_at).as_millis() as u64;
+    Error::new(Kind::Overloaded, detail).retry_after(retry_after(context, wait_ms))
+}
+
 /// Refuses a request whose deadline has passed, or whose key can't be confirmed any more.
 pub(super) fn check_deadline_and_contact(
     context: &Context,
--- a/src/serve/slot.rs
+++ b/src/serve/slot.rs
@@ -6,7 +6,7 @@
 
 use super::context::Context;
 use super::departure::Process;
-use super::limit::Word;
+use super::limit::{Admission, Word};
 use super::origin::Origin;
 use super::protocol::{Classification, Limit};
 use super::upstream::{Key, Use};
@@ -29,8 +29,8 @@
     pub address: SocketAddr,
     /// Kind of request that holds it.
     pub(super) kind: Use,
-    /// When it was taken.
-    pub(super) taken_at: Time,
+    /// When it was taken, or its request was granted after that.
+    pub(super) taken_at: Cell<Time>,
     /// Whether the upstream had a free slot when this one was taken.
     pub(super) free: bool,
     /// Whether the upstream has sent a first event.
@@ -93,6 +93,30 @@
         context.work_changed.notify_one();
     }
 
+    /// Whether the request that holds the slot may be sent now: the limit that the upstream
+    /// has named leaves room for it among the requests of all VMs.
+    pub async fn admit(&self) -> bool {
+        let limit = self.context.table.borrow().limits().per_s(self.process());
+        let gate = if limit.is_some() { self.context.gate() } else { None };
+        let Some(gate) = gate else { return true };
+        let admission = gate.admit(self.process()).await;
+        let outcome = match admission {
+            Admission::Granted => {
+                // The upstream isn't slower for the time that this took.
+                self.taken_at.set(self.context.now());
+                "granted"
+            }
+            Admission::Denied(until) => {
+                self.context.table.borrow_mut().close(self.key, until);
+                "denied"
+            }
+        };
+        metrics::counter!("serve_limited_sends_total", "use" => self.kind.as_str(),
+            "outcome" => outcome)
+        .increment(1);
+        admission == Admission::Granted
+    }
+
     fn process(&self) -> Process {
         Process::new(&self.upstream, self.started_unix_ms)
     }
@@ -109,7 +133,7 @@
     }
 
     fn held_ms(&self) -> f64 {
-        self.taken_at.until(self.context.now()).as_secs_f64() * 1e3
+        self.taken_at.get().until(self.context.now()).as_secs_f64() * 1e3
     }
 }
 
--- a/src/serve/upstream.rs
+++ b/src/serve/upstream.rs
@@ -119,6 +119,8 @@
     pub leaving: bool,
     /// Requests per second that its process takes from all VMs, if it says so.
     pub limit_per_s: Option<f64>,
+    /// Time until which it takes no request of this VM within its limit.
+    pub closed_until: Time,
     /// Moving average of the time to the first event, in milliseconds.
     pub first_event_ms: f64,
     failures: u32,
@@ -138,6 +140,7 @@
             ejected_until: Time(0),
             leaving: false,
             limit_per_s: None,
+            closed_until: Time(0),
             first_event_ms: 0.0,
             failures: 0,
             missing_since: None,
@@ -166,6 +169,19 @@
     pub fn usable(&self, now: Time) -> bool {
         self.stays() && self.ejected_until.passed(now)
     }
+
+    /// Whether it may take a request of this VM within the limit that it named.
+    pub fn is_open(&self, now: Time) -> bool {
+        self.closed_until.passed(now)
+    }
+
+    /// Applies the limit that its process names; none opens it at once.
+    fn set_limit(&mut self, per_s: Option<f64>) {
+        self.limit_per_s = per_s;
+        if per_s.is_none() {
+            self.closed_until = Time(0);
+        }
+    }
 }
 
 /// Number that identifies an upstream in datagrams: a hash of its identifier.
@@ -230,7 +246,7 @@
                 || entry.registration.address != registration.address;
             entry.registration = registration.clone();
             entry.leaving = self.departures.contains(registration.process());
-            entry.limit_per_s = self.limits.per_s(registration.process());
+            entry.set_limit(self.limits.per_s(registration.process()));
             if restarted {
                 entry.ejected_until = Time(0);
                 entry.failures = 0;
@@ -240,7 +256,7 @@
         }
         let mut entry = Entry::new(registration.clone());
         entry.leaving = self.departures.contains(registration.process());
-        entry.limit_per_s = self.limits.per_s(registration.process());
+        entry.set_limit(self.limits.per_s(registration.process()));
         let number = entry.number;
         let key = self.entries.insert(entry);
         self.by_name.insert(registration.upstream.clone(), key);
@@ -260,6 +276,12 @@
         self.entries.get(key)
     }
 
+    /// Name of the upstream with this process, if it is listed.
+    pub fn name(&self, process: Process) -> Option<&Upstream> {
+        let entry = self.entries.get(*self.by_number.get(&process.number)?)?;
+        Some(&entry.registration.upstream)
+    }
+
     /// Looks up an upstream to modify its state; none once it was removed.
     pub fn get_mut(&mut self, key: Key) -> Option<&mut Entry> {
         self.entries.get_mut(key)
@@ -300,11 +322,29 @@
         let changed = self.limits.record(process, word, own, now);
         if let Some(key) = self.by_number.get(&process.number) {
             let entry = &mut self.entries[*key];
-            entry.limit_per_s = self.limits.per_s(entry.registration.process());
+            entry.set_limit(self.limits.per_s(entry.registration.process()));
         }
         changed
     }
 
+    /// Limits of the upstreams' processes.
+    pub fn limits(&self) -> &Limits {
+        &self.limits
+    }
+
+    /// The same, to grant requests.
+    pub fn limits_mut(&mut self) -> &mut Limits {
+        &mut self.limits
+    }
+
+    /// Records that an upstream takes no request of this VM until a time, by its limit.
+    pub fn close(&mut self, key: Key, until: Time) {
+        let Some(entry) = self.entries.get_mut(key) else { return };
+        if entry.limit_per_s.is_some() {
+            entry.closed_until = until;
+        }
+    }
+
     /// Whether all upstreams of a service leave; false if it has none.
     pub fn all_leave(&self, service: &Service) -> bool {
         let mut entries = self.of_service(service).peekable();
