--- a/src/serve/context.rs
+++ b/src/serve/context.rs
@@ -181,6 +181,11 @@
         !self.contact_until().passed(self.now())
     }
 
+    /// Whether batch items wait for a slot on any VM.
+    pub fn items_wait(&self) -> bool {
+        self.items_waiting.get() || !self.contenders.borrow().is_empty()
+    }
+
     /// Takes a slot at an upstream; none if the upstream is no longer known.
     pub fn take_slot(self: &Rc<Self>, key: Key, kind: Use) -> Option<Slot> {
         let mut table = self.table.borrow_mut();
@@ -199,9 +204,14 @@
             origin: Origin::of(&entry.registration),
             started_unix_ms: entry.registration.started_unix_ms,
             address: entry.registration.address,
+            announced: Cell::new(false),
             context: self.clone(),
         };
-        self.load_changed.notify_one();
+        let is_limited = entry.limit_per_s.is_some();
+        drop(table);
+        if !is_limited {
+            slot.announce();
+        }
         self.work_changed.notify_one();
         Some(slot)
     }
--- a/src/serve/jobs/dispatch.rs
+++ b/src/serve/jobs/dispatch.rs
@@ -265,6 +265,7 @@
             version,
             data_centre: &self.context.member.data_centre,
             tried: &[],
+            items_wait: true,
             tie_breaker: self.context.random(),
         };
         let contenders = self.context.contenders.borrow();
--- a/src/serve/place.rs
+++ b/src/serve/place.rs
@@ -30,9 +30,9 @@
 /// Cost of such an upstream, in milliseconds: it is used only when the others are full.
 const PEER_FAILURE_PENALTY_MS: f64 = 250.0;
 
-/// Cost of an upstream that has named a limit, in milliseconds: below that of preempting an
-/// item. A batch item makes more of one request than an online request does, and leaves an
-/// online request a slot elsewhere.
+/// Cost of an upstream that has named a limit while batch items wait, in milliseconds: below
+/// that of preempting an item. An item makes more of one request than an online request
+/// does, and leaves an online request a slot elsewhere.
 const LIMIT_COST_MS: f64 = 40.0;
 /// Cost of an upstream that this VM has ejected, in milliseconds: it is used only when no
 /// other can run the request.
@@ -53,6 +53,8 @@
     pub data_centre: &'a DataCentre,
     /// Upstreams that have already failed or refused this request.
     pub tried: &'a [Upstream],
+    /// Whether batch items wait for a slot on any VM.
+    pub items_wait: bool,
     /// Random number that breaks ties differently on VMs that choose at the same time.
     pub tie_breaker: u64,
 }
@@ -109,7 +111,8 @@
             } else {
                 0.0
             };
-            let limit_ms = if entry.limit_per_s.is_some() { LIMIT_COST_MS } else { 0.0 };
+            let is_left_to_items = criteria.items_wait && entry.limit_per_s.is_some();
+            let limit_ms = if is_left_to_items { LIMIT_COST_MS } else { 0.0 };
             let ejected_ms = if entry.usable(now) { 0.0 } else { EJECTED_PENALTY_MS };
             let cost_ms = expected_ms
                 + tie_break_ms
--- a/src/serve/selection.rs
+++ b/src/serve/selection.rs
@@ -102,6 +102,7 @@
         version: admitted.version.as_ref(),
         data_centre: &context.member.data_centre,
         tried: &history.tried,
+        items_wait: context.items_wait(),
         tie_breaker: context.random(),
     }
 }
--- a/src/serve/slot.rs
+++ b/src/serve/slot.rs
@@ -35,6 +35,8 @@
     pub(super) free: bool,
     /// Whether the upstream has sent a first event.
     pub(super) answered: Cell<bool>,
+    /// Whether other VMs are told of it: at once, or when its request is granted.
+    pub(super) announced: Cell<bool>,
     pub(super) context: Rc<Context>,
 }
 
@@ -98,12 +100,18 @@
     pub async fn admit(&self) -> bool {
         let limit = self.context.table.borrow().limits().per_s(self.process());
         let gate = if limit.is_some() { self.context.gate() } else { None };
-        let Some(gate) = gate else { return true };
+        let Some(gate) = gate else {
+            if !self.announced.get() {
+                self.announce();
+            }
+            return true;
+        };
         let admission = gate.admit(self.process()).await;
         let outcome = match admission {
             Admission::Granted => {
                 // The upstream isn't slower for the time that this took.
                 self.taken_at.set(self.context.now());
+                self.announce();
                 "granted"
             }
             Admission::Denied(until) => {
@@ -117,6 +125,12 @@
         admission == Admission::Granted
     }
 
+    /// Has other VMs told of the slot.
+    pub(super) fn announce(&self) {
+        self.announced.set(true);
+        self.context.load_changed.notify_one();
+    }
+
     fn process(&self) -> Process {
         Process::new(&self.upstream, self.started_unix_ms)
     }
@@ -151,7 +165,9 @@
             }
         }
         drop(table);
-        self.context.load_changed.notify_one();
+        if self.announced.get() {
+            self.context.load_changed.notify_one();
+        }
         self.context.work_changed.notify_one();
     }
 }
--- a/tests/fleet_load/mod.rs
+++ b/tests/fleet_load/mod.rs
@@ -304,6 +304,7 @@
             version: None,
             data_centre: &data_centre,
             tried: &[],
+            items_wait: false,
             tie_breaker,
         };
         self.sent += 1;
@@ -375,6 +376,7 @@
             version: None,
             data_centre: &data_centre,
             tried: &[],
+            items_wait: false,
             tie_breaker,
         };
         let slice = now_ms / SLICE_MS;
--- a/tests/serve_load.rs
+++ b/tests/serve_load.rs
@@ -125,7 +125,14 @@
     }
 
     fn criteria<'a>(service: &'a Service, data_centre: &'a DataCentre) -> Criteria<'a> {
-        Criteria { service, version: None, data_centre, tried: &[], tie_breaker: 0 }
+        Criteria {
+            service,
+            version: None,
+            data_centre,
+            tried: &[],
+            items_wait: false,
+            tie_breaker: 0,
+        }
     }
 
     fn arrive(&mut self, now_ms: u64) {
--- a/tests/serve_origin.rs
+++ b/tests/serve_origin.rs
@@ -125,6 +125,7 @@
         version,
         data_centre: &data_centre,
         tried: &[],
+        items_wait: false,
         tie_breaker: 0,
     };
     let choice = place::online(table, criteria, NOW)?;
--- a/tests/serve_place.rs
+++ b/tests/serve_place.rs
@@ -53,6 +53,7 @@
             version: None,
             data_centre: &self.data_centre,
             tried,
+            items_wait: false,
             tie_breaker: 0,
         }
     }
