Log how many VMs have ejected an upstream, and open connections by a connector

Connections to upstreams are opened by a transport::Connector, a trait object of the adapter, so that tests can cut a VM's links. Nothing is decided otherwise.

--- a/programs/src/serve.rs
+++ b/programs/src/serve.rs
@@ -9,6 +9,7 @@
 
 use parsleybeam::serve::node;
 use parsleybeam::settings;
+use parsleybeam::transport::Direct;
 use parsleybeam_platform::{Client, Codec};
 
 fn main() -> ExitCode {
@@ -20,6 +21,7 @@
         let node = node::start(path, settings, log, |settings, channel| node::Adapter {
             store: Rc::new(Client::new(settings.key_value, channel)),
             protocol: Rc::new(Codec),
+            network: Rc::new(Direct),
         })
         .await?;
         daemon::wait_for_stop(|| node.reload()).await;
--- a/src/serve/channel.rs
+++ b/src/serve/channel.rs
@@ -17,7 +17,7 @@
 
 use crate::clock::{Clock, Time};
 use crate::error::{Error, Kind, Result};
-use crate::transport::{Failure, Pool};
+use crate::transport::{Direct, Failure, Pool};
 
 /// Connect timeout.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
@@ -59,7 +59,7 @@
     pub fn new(address: SocketAddr, clock: Arc<dyn Clock>, relays: Relays) -> Self {
         Self {
             address,
-            pool: Pool::new(clock.clone()),
+            pool: Pool::new(clock.clone(), Rc::new(Direct)),
             clock,
             relays,
             avoid_direct_until: Cell::new(Time(0)),
--- a/src/serve/context.rs
+++ b/src/serve/context.rs
@@ -25,7 +25,7 @@
 use crate::clock::{Clock, Time};
 use crate::id::Vm;
 use crate::settings;
-use crate::transport::Pool;
+use crate::transport::{Connector, Pool};
 
 /// The shared state, as this VM last read it from the store.
 #[derive(Default)]
@@ -52,6 +52,8 @@
     pub log: Logger,
     /// Connections to upstreams and peers.
     pub pool: Rc<Pool>,
+    /// Opens connections to upstreams.
+    pub network: Rc<dyn Connector>,
     /// Client of the platform's key-value service.
     pub store: Rc<dyn Store>,
     /// Encoder and decoder of the platform's requests and responses.
@@ -99,6 +101,7 @@
         log: Logger,
         store: Rc<dyn Store>,
         protocol: Rc<dyn Protocol>,
+        network: Rc<dyn Connector>,
     ) -> Rc<Self> {
         let tolerance = Tolerance {
             window_s: settings.bounds.rate_window_s,
@@ -110,7 +113,8 @@
             random: RefCell::new(ChaCha8Rng::seed_from_u64(member.incarnation)),
             member,
             settings: RefCell::new(Rc::new(settings)),
-            pool: Pool::new(clock.clone()),
+            pool: Pool::new(clock.clone(), network.clone()),
+            network,
             clock,
             log,
             store,
--- a/src/serve/crash/mod.rs
+++ b/src/serve/crash/mod.rs
@@ -20,12 +20,10 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use siphasher::sip::SipHasher13;
-use tokio::net::TcpStream;
-
 pub use parts::{Crash, Held, Parts, Reporter, Run};
 pub use report::{CompletedRow, CrashRow, HeldRow, Report};
 pub use requests::{LIMIT, Requests};
+use siphasher::sip::SipHasher13;
 
 use super::context::Context;
 use super::member::owner;
@@ -234,22 +232,21 @@
 
 /// Whether the upstream that broke off the run of an item has crashed.
 pub async fn probe_for_item(context: &Context, item: &str, slot: &Slot) -> bool {
-    if accepts_connections(slot.address).await {
+    if accepts_connections(context, slot.address).await {
         return false;
     }
     metrics::counter!("serve_crashes_total", "of" => "item").increment(1);
     emit!(context.log, Event::UpstreamDied, "item" => item,
-        "upstream" => slot.upstream.as_str());
+        "upstream" => slot.upstream.as_str(), "ejected_by_others" => slot.ejected_by_others());
     true
 }
 
-async fn accepts_connections(address: SocketAddr) -> bool {
-    let connecting = TcpStream::connect(address);
-    matches!(tokio::time::timeout(PROBE_TIMEOUT, connecting).await, Ok(Ok(_)))
+async fn accepts_connections(context: &Context, address: SocketAddr) -> bool {
+    context.network.connect(address, PROBE_TIMEOUT).await.is_ok()
 }
 
 async fn probe_upstream(context: Rc<Context>, broken: Broken) {
-    if accepts_connections(broken.address).await {
+    if accepts_connections(&context, broken.address).await {
         return;
     }
     let run = broken.run();
@@ -258,7 +255,8 @@
     emit!(context.log, Event::UpstreamDied, "request" => broken.request_id,
         "upstream" => broken.upstream.as_str(),
         "fingerprint" => format!("{:032x}", run.fingerprint.0),
-        "crash" => format!("{:016x}", run.crash.0), "shared_parts" => parts.join(","));
+        "crash" => format!("{:016x}", run.crash.0), "shared_parts" => parts.join(","),
+        "ejected_by_others" => context.table.borrow().ejected_by_others(&broken.upstream));
     let (now, reporter) = (context.now(), reporter(context.vm().as_str()));
     let change = context.crashes.borrow_mut().record_own(run, reporter, now);
     log_change(&context, change);
--- a/src/serve/node.rs
+++ b/src/serve/node.rs
@@ -27,6 +27,7 @@
 use crate::event::Event;
 use crate::node::Listener;
 use crate::settings;
+use crate::transport::Connector;
 
 /// Maximum time for which new requests are still accepted after a shutdown has begun.
 const ACCEPT_DURING_STOP: Duration = Duration::from_millis(5_000);
@@ -43,6 +44,8 @@
     pub store: Rc<dyn Store>,
     /// Encoder and decoder of the platform's requests and responses.
     pub protocol: Rc<dyn Protocol>,
+    /// Opens connections to upstreams.
+    pub network: Rc<dyn Connector>,
 }
 
 /// A running entry VM.
@@ -97,7 +100,8 @@
     let log = log.new(o!("vm" => settings.vm.to_string()));
     emit!(log, Event::Started, "incarnation" => format!("{:x}", member.incarnation),
         "caller" => callers.address.to_string());
-    let context = Context::new(member, settings, clock, log, adapter.store, adapter.protocol);
+    let Adapter { store, protocol, network } = adapter;
+    let context = Context::new(member, settings, clock, log, store, protocol, network);
     let peers = Peers::new(context.clone(), datagrams, relays);
     let jobs = Jobs::new(context.clone());
     let reader = Reader::new(context.clone());
--- a/src/serve/slot.rs
+++ b/src/serve/slot.rs
@@ -46,8 +46,15 @@
         let now = self.context.now();
         let until = self.context.table.borrow_mut().record_failure(self.key, now);
         let pause_ms = until.map_or(0, |until| now.until(until).as_millis() as u64);
+        let ejected = self.context.table.borrow().ejected(now).len();
         emit!(self.context.log, Event::UpstreamFailed, "upstream" => self.upstream.as_str(),
-            "address" => self.address.to_string(), "reason" => reason, "pause_ms" => pause_ms);
+            "address" => self.address.to_string(), "reason" => reason, "pause_ms" => pause_ms,
+            "ejected_here" => ejected, "ejected_by_others" => self.ejected_by_others());
+    }
+
+    /// Number of other VMs that have ejected the upstream.
+    pub fn ejected_by_others(&self) -> u32 {
+        self.context.table.borrow().ejected_by_others(&self.upstream)
     }
 
     /// Records that the upstream said in the answer to `request_id` that it leaves.
--- a/src/serve/upstream.rs
+++ b/src/serve/upstream.rs
@@ -391,6 +391,12 @@
         ejected.map(|entry| entry.number).collect()
     }
 
+    /// Number of other VMs that have ejected an upstream.
+    pub fn ejected_by_others(&self, upstream: &Upstream) -> u32 {
+        let entry = self.by_name.get(upstream).and_then(|key| self.entries.get(*key));
+        entry.map_or(0, |entry| entry.peer_failures)
+    }
+
     /// Records a failure of an upstream; returns the time until which it is ejected.
     pub fn record_failure(&mut self, key: Key, now: Time) -> Option<Time> {
         let entry = self.entries.get_mut(key)?;
--- a/src/transport/connection.rs
+++ b/src/transport/connection.rs
@@ -7,14 +7,10 @@
 use http_body_util::Full;
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
-use tokio::net::TcpStream;
 use tokio::task::JoinHandle;
 
 use super::Failure;
-
-/// TCP user timeout: time without acknowledgement of sent data after which the
-/// connection is closed.
-const USER_TIMEOUT: Duration = Duration::from_secs(2);
+use super::connector::Connector;
 
 /// An open connection; dropping it closes the socket.
 pub(super) struct Connection {
@@ -23,20 +19,16 @@
 }
 
 impl Connection {
-    /// Connects to `address`; fails after `timeout`.
-    pub async fn open(address: SocketAddr, timeout: Duration) -> Result<Self, Failure> {
-        let not_sent = |reason: String| Failure::NotSent(reason);
-        let connecting = tokio::time::timeout(timeout, TcpStream::connect(address)).await;
-        let stream = connecting
-            .map_err(|_| not_sent(format!("no connection in {} ms", timeout.as_millis())))?
-            .map_err(|error| not_sent(error.to_string()))?;
-        stream.set_nodelay(true).map_err(|error| not_sent(error.to_string()))?;
-        socket2::SockRef::from(&stream)
-            .set_tcp_user_timeout(Some(USER_TIMEOUT))
-            .map_err(|error| not_sent(error.to_string()))?;
+    /// Connects to `address` by `connector`; fails after `timeout`.
+    pub async fn open(
+        connector: &dyn Connector,
+        address: SocketAddr,
+        timeout: Duration,
+    ) -> Result<Self, Failure> {
+        let stream = connector.connect(address, timeout).await.map_err(Failure::NotSent)?;
         let (sender, driver) = http1::handshake(TokioIo::new(stream))
             .await
-            .map_err(|error| not_sent(error.to_string()))?;
+            .map_err(|error| Failure::NotSent(error.to_string()))?;
         // The driver's error reaches the caller through `sender` or the body.
         let task = actix_rt::spawn(async move {
             let _ = driver.await;
--- a/src/transport/mod.rs
+++ b/src/transport/mod.rs
@@ -8,8 +8,10 @@
 //! have been sent.
 
 mod connection;
+mod connector;
 mod pool;
 
+pub use connector::{Connector, Direct, Opened, Stream};
 pub use pool::{Body, Pool, Response};
 
 /// Failure of a call, by whether the server may have received the request.
--- a/src/transport/pool.rs
+++ b/src/transport/pool.rs
@@ -15,6 +15,7 @@
 
 use super::Failure;
 use super::connection::Connection;
+use super::connector::Connector;
 use crate::clock::{Clock, Time};
 
 /// Idle timeout of a connection whose server announces none.
@@ -33,6 +34,7 @@
 pub struct Pool {
     idle: RefCell<HashMap<SocketAddr, Vec<Idle>>>,
     clock: Arc<dyn Clock>,
+    connector: Rc<dyn Connector>,
 }
 
 /// Head of a response, with its body still to be read.
@@ -57,9 +59,9 @@
 }
 
 impl Pool {
-    /// Creates an empty pool.
-    pub fn new(clock: Arc<dyn Clock>) -> Rc<Self> {
-        Rc::new(Self { idle: RefCell::default(), clock })
+    /// Creates an empty pool of connections that `connector` opens.
+    pub fn new(clock: Arc<dyn Clock>, connector: Rc<dyn Connector>) -> Rc<Self> {
+        Rc::new(Self { idle: RefCell::default(), clock, connector })
     }
 
     /// Sends a request, over an idle connection if there is one.
@@ -80,7 +82,7 @@
                 },
             }
         }
-        let mut connection = Connection::open(address, connect_timeout).await?;
+        let mut connection = Connection::open(&*self.connector, address, connect_timeout).await?;
         match connection.sender.try_send_request(request).await {
             Ok(response) => Ok(self.response(address, connection, response)),
             Err(mut error) => {
