--- a/src/event/catalogue.rs
+++ b/src/event/catalogue.rs
@@ -71,6 +71,8 @@
     510 PartCleared Info "part of a prompt no longer held off: an answer with it was completed";
     511 UpstreamLeaving Info "upstream said that it leaves; it gets no more requests";
     512 UpstreamLimited Info "limit of an upstream learnt, changed or ended";
+    513 UpstreamsCutOff Warning "no direct way to the upstreams; connections go through other VMs";
+    514 UpstreamsReached Info "upstreams can be reached directly again";
 
     601 SharesMoved Info "share table adopted";
 
--- a/src/serve/context.rs
+++ b/src/serve/context.rs
@@ -16,6 +16,7 @@
 use super::limit::Gate;
 use super::member::{self, Member};
 use super::origin::{History, Origin, Origins};
+use super::path::Paths;
 use super::place::Contender;
 use super::protocol::{Part, Protocol};
 use super::rate::{Limiter, Tolerance};
@@ -25,7 +26,7 @@
 use crate::clock::{Clock, Time};
 use crate::id::Vm;
 use crate::settings;
-use crate::transport::{Connector, Pool};
+use crate::transport::{Direct, Pool};
 
 /// The shared state, as this VM last read it from the store.
 #[derive(Default)]
@@ -50,10 +51,12 @@
     pub clock: Arc<dyn Clock>,
     /// Root logger.
     pub log: Logger,
-    /// Connections to upstreams and peers.
+    /// Connections to upstreams, by the paths that work.
     pub pool: Rc<Pool>,
+    /// Connections to other VMs. Apart, since they say nothing of the way to upstreams.
+    pub peer_pool: Rc<Pool>,
     /// Opens connections to upstreams.
-    pub network: Rc<dyn Connector>,
+    pub paths: Rc<Paths>,
     /// Client of the platform's key-value service.
     pub store: Rc<dyn Store>,
     /// Encoder and decoder of the platform's requests and responses.
@@ -101,7 +104,7 @@
         log: Logger,
         store: Rc<dyn Store>,
         protocol: Rc<dyn Protocol>,
-        network: Rc<dyn Connector>,
+        paths: Rc<Paths>,
     ) -> Rc<Self> {
         let tolerance = Tolerance {
             window_s: settings.bounds.rate_window_s,
@@ -113,8 +116,9 @@
             random: RefCell::new(ChaCha8Rng::seed_from_u64(member.incarnation)),
             member,
             settings: RefCell::new(Rc::new(settings)),
-            pool: Pool::new(clock.clone(), network.clone()),
-            network,
+            pool: Pool::new(clock.clone(), paths.clone()),
+            peer_pool: Pool::new(clock.clone(), Rc::new(Direct)),
+            paths,
             clock,
             log,
             store,
--- a/src/serve/crash/mod.rs
+++ b/src/serve/crash/mod.rs
@@ -242,7 +242,7 @@
 }
 
 async fn accepts_connections(context: &Context, address: SocketAddr) -> bool {
-    context.network.connect(address, PROBE_TIMEOUT).await.is_ok()
+    context.paths.reaches(address, PROBE_TIMEOUT).await
 }
 
 async fn probe_upstream(context: Rc<Context>, broken: Broken) {
--- a/src/serve/datagram.rs
+++ b/src/serve/datagram.rs
@@ -90,6 +90,9 @@
     /// granted requests for.
     #[prost(message, repeated, tag = "9")]
     pub limited: Vec<Limited>,
+    /// Whether the sender is cut off from the upstreams.
+    #[prost(bool, tag = "10")]
+    pub cut_off: bool,
 }
 
 /// A process of an upstream that has named a limit, now or before.
--- a/src/serve/exchange.rs
+++ b/src/serve/exchange.rs
@@ -320,6 +320,7 @@
                 continue;
             }
         };
+        record.through.extend(answer.through.map(|peer| peer.to_string()));
         let request_id = admitted.head.request_id.as_deref().unwrap_or_default();
         let classification = context.protocol.classify(answer.status, &answer.headers, request_id);
         slot.record_answer(&classification, request_id);
--- a/src/serve/member.rs
+++ b/src/serve/member.rs
@@ -31,6 +31,9 @@
     pub peer: SocketAddr,
     /// Address of the internal server, which relays peers' calls to the store.
     pub relay: SocketAddr,
+    /// Address at which it serves tunnels to upstreams; none in entries of older versions.
+    #[serde(default)]
+    pub tunnel: Option<SocketAddr>,
     /// Capacity relative to other VMs.
     pub weight: f64,
     /// Whether the VM is shutting down gracefully.
--- a/src/serve/mod.rs
+++ b/src/serve/mod.rs
@@ -12,6 +12,7 @@
 //! | upstream selection and load shedding | `place`, `departure` | `exchange` |
 //! | rate limits of organisations | `rate` | `token` |
 //! | limits that upstreams name | `limit` | `gate` |
+//! | ways to upstreams | `path::Links` | `path` |
 //! | order and resumption of streams | `event`, `origin` | `relay`, `peers` |
 //! | items, results, positions | `jobs::Job` | `jobs::Jobs` |
 //! | membership and ownership | `member` | `poller` |
@@ -36,6 +37,7 @@
 pub mod member;
 pub mod node;
 pub mod origin;
+pub mod path;
 pub mod peers;
 pub mod place;
 pub mod poller;
--- a/src/serve/node.rs
+++ b/src/serve/node.rs
@@ -16,6 +16,7 @@
 use super::internal::Server;
 use super::jobs::Jobs;
 use super::member::Member;
+use super::path::{self, Helpers, Paths};
 use super::peers::Peers;
 use super::poller::Poller;
 use super::protocol::Protocol;
@@ -83,6 +84,7 @@
         |error| Error::new(Kind::Settings, format!("peer: {}: {error}", settings.peer));
     let datagrams = UdpSocket::bind(settings.peer).await.map_err(bind_error)?;
     let peer = datagrams.local_addr().map_err(bind_error)?;
+    let tunnels = Listener::bind("peer", settings.peer)?;
     let clock: Arc<dyn Clock> = Arc::new(Boottime);
     let relays = Relays::default();
     let channel = Rc::new(Channel::new(settings.key_value, clock.clone(), relays.clone()));
@@ -94,6 +96,7 @@
         caller: callers.address,
         peer,
         relay: relay.address,
+        tunnel: Some(tunnels.address),
         weight: settings.weight,
         leaving: false,
     };
@@ -101,8 +104,10 @@
     emit!(log, Event::Started, "incarnation" => format!("{:x}", member.incarnation),
         "caller" => callers.address.to_string());
     let Adapter { store, protocol, network } = adapter;
-    let context = Context::new(member, settings, clock, log, store, protocol, network);
-    let peers = Peers::new(context.clone(), datagrams, relays);
+    let helpers = Helpers::default();
+    let paths = Paths::new(network, clock.clone(), log.clone(), helpers.clone());
+    let context = Context::new(member, settings, clock, log, store, protocol, paths);
+    let peers = Peers::new(context.clone(), datagrams, relays, helpers);
     let jobs = Jobs::new(context.clone());
     let reader = Reader::new(context.clone());
     let poller = Poller::new(context.clone(), peers.clone(), jobs.clone(), reader.clone());
@@ -119,6 +124,8 @@
     let server = Server { channel, reader, context: context.clone(), jobs: jobs.clone() };
     let relay_address = relay.address;
     server.serve(relay.socket)?;
+    path::serve(&context, tunnels.socket)?;
+    actix_rt::spawn(path::watch(context.clone()));
     actix_rt::spawn(peers.clone().listen(jobs.clone()));
     actix_rt::spawn(peers.clone().announce());
     actix_rt::spawn(peers.clone().announce_crashes());
@@ -169,7 +176,8 @@
         let refuse = started.after(ACCEPT_DURING_STOP.min(stop / 2));
         self.frontend.refuse_from.set(refuse);
         tokio::time::sleep(self.context.now().until(refuse)).await;
-        while self.frontend.active.get() > 0 && !end.passed(self.context.now()) {
+        let is_busy = || self.frontend.active.get() > 0 || self.context.paths.is_relaying();
+        while is_busy() && !end.passed(self.context.now()) {
             tokio::time::sleep(DRAIN_CHECK_PAUSE).await;
         }
         emit!(self.context.log, Event::Stopped, "active" => self.frontend.active.get());
--- a/src/serve/peers.rs
+++ b/src/serve/peers.rs
@@ -17,6 +17,7 @@
 use super::jobs::{Jobs, Pending};
 use super::limit::Gate;
 use super::member::Member;
+use super::path::Helpers;
 use super::place::Contender;
 use super::resume;
 use super::upstream::{self, PeerLoad};
@@ -58,6 +59,8 @@
     items_waiting: bool,
     items_in_time: u32,
     ejected: Vec<u32>,
+    /// Whether it is cut off from the upstreams.
+    cut_off: bool,
     /// Time since which all its reports have said that the store is unreachable.
     store_unreachable_since: Option<Time>,
     heard_at: Time,
@@ -82,11 +85,18 @@
     sequence: Cell<u64>,
     started: Time,
     relays: Relays,
+    helpers: Helpers,
 }
 
 impl Peers {
-    /// Creates the state before any datagram was received; `relays` is kept up to date.
-    pub fn new(context: Rc<Context>, socket: UdpSocket, relays: Relays) -> Rc<Self> {
+    /// Creates the state before any datagram was received; `relays` and `helpers` are
+    /// kept up to date.
+    pub fn new(
+        context: Rc<Context>,
+        socket: UdpSocket,
+        relays: Relays,
+        helpers: Helpers,
+    ) -> Rc<Self> {
         let started = context.now();
         let gate = context.clone();
         let peers = Rc::new(Self {
@@ -99,6 +109,7 @@
             sequence: Cell::new(0),
             started,
             relays,
+            helpers,
         });
         let weak: Weak<dyn Gate> = Rc::downgrade(&(peers.clone() as Rc<dyn Gate>));
         gate.set_gate(weak);
@@ -160,6 +171,7 @@
             items_in_time,
             leaving: self.leaving(),
             limited: self.limited(),
+            cut_off: self.context.paths.is_cut(),
         };
         self.broadcast(Content::Load(load));
     }
@@ -319,6 +331,7 @@
             items_waiting,
             items_in_time: load.items_in_time,
             ejected: load.ejected,
+            cut_off: load.cut_off,
             store_unreachable_since,
             heard_at: now,
         };
@@ -356,6 +369,7 @@
         self.context.work_changed.notify_one();
         drop(states);
         self.update_relays();
+        self.update_helpers();
     }
 
     /// Updates the list of peers that can reach the store.
@@ -370,6 +384,19 @@
         *self.relays.borrow_mut() = reachable.map(|member| member.relay).collect();
     }
 
+    /// Updates the list of peers that reach the upstreams.
+    fn update_helpers(&self) {
+        let states = self.states.borrow();
+        let view = self.context.view.borrow();
+        let helpers = view.members.iter().map(|listed| &listed.member).filter(|member| {
+            &member.vm != self.context.vm()
+                && !member.leaving
+                && states.get(&member.vm).is_some_and(|last| !last.cut_off)
+                && !self.is_silent(&member.vm, SILENT_AFTER)
+        });
+        *self.helpers.borrow_mut() = helpers.filter_map(|member| member.tunnel).collect();
+    }
+
     /// Announces to all other VMs that this one has accepted a job.
     pub fn announce_job(&self, job: &str, pending: Pending) {
         let opened = Opened { job: job.to_owned(), pending: Some(pending) };
--- a/src/serve/poller.rs
+++ b/src/serve/poller.rs
@@ -88,6 +88,7 @@
             }
             self.log_contact();
             self.context.pool.close_expired();
+            self.context.peer_pool.close_expired();
         }
     }
 
--- a/src/serve/reader.rs
+++ b/src/serve/reader.rs
@@ -257,7 +257,7 @@
         .body(Full::new(Bytes::new()))
         .ok()?;
     let call = async {
-        let mut answer = context.pool.send(member.relay, request, CALL_TIMEOUT).await.ok()?;
+        let mut answer = context.peer_pool.send(member.relay, request, CALL_TIMEOUT).await.ok()?;
         let body = answer.body.collect(MAX_RESPONSE_BYTES).await.ok()?;
         (answer.status == StatusCode::OK).then_some(body)
     };
--- a/src/serve/record.rs
+++ b/src/serve/record.rs
@@ -31,6 +31,8 @@
     pub attempts: Vec<String>,
     /// Software versions of these upstreams.
     pub versions: Vec<String>,
+    /// Addresses of the VMs that its connections went through.
+    pub through: Vec<String>,
     /// Names of the upstreams whose limits left no room for it when it was to be sent.
     pub at_limit: Vec<String>,
     /// Identifier of the caller's attempt whose stream it resumes; empty if none.
@@ -58,6 +60,7 @@
             organisation: String::new(),
             token: "",
             attempts: Vec::new(),
+            through: Vec::new(),
             at_limit: Vec::new(),
             versions: Vec::new(),
             resumes: String::new(),
@@ -120,6 +123,7 @@
             "organisation" => self.organisation.as_str(), "token" => self.token,
             "configuration" => self.version, "store_age_ms" => store_age.as_millis() as u64,
             "attempts" => self.attempts.join(","), "versions" => self.versions.join(","),
+            "through" => self.through.join(","),
             "at_limit" => self.at_limit.join(","),
             "resumes" => self.resumes.as_str(), "expected_ms" => self.expected_ms as u64,
             "first_event_ms" => self.first_event_ms.map_or(-1, |first| first as i64),
--- a/src/serve/slot.rs
+++ b/src/serve/slot.rs
@@ -44,7 +44,11 @@
     /// Records that the upstream failed.
     pub fn record_failure(&self, reason: &str) {
         let now = self.context.now();
-        let until = self.context.table.borrow_mut().record_failure(self.key, now);
+        // Who is cut off has found nothing out about the upstream.
+        let until = match self.context.paths.is_to_blame() {
+            true => None,
+            false => self.context.table.borrow_mut().record_failure(self.key, now),
+        };
         let pause_ms = until.map_or(0, |until| now.until(until).as_millis() as u64);
         let ejected = self.context.table.borrow().ejected(now).len();
         emit!(self.context.log, Event::UpstreamFailed, "upstream" => self.upstream.as_str(),
--- a/src/serve/upstream.rs
+++ b/src/serve/upstream.rs
@@ -2,6 +2,7 @@
 
 use std::collections::HashMap;
 use std::hash::Hasher;
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use siphasher::sip::SipHasher13;
@@ -391,6 +392,19 @@
         ejected.map(|entry| entry.number).collect()
     }
 
+    /// Ends all ejections.
+    pub fn clear_ejections(&mut self) {
+        for entry in self.entries.values_mut() {
+            entry.ejected_until = Time(0);
+            entry.failures = 0;
+        }
+    }
+
+    /// Whether an upstream is registered with this address.
+    pub fn has_address(&self, address: SocketAddr) -> bool {
+        self.entries.values().any(|entry| entry.registration.address == address)
+    }
+
     /// Number of other VMs that have ejected an upstream.
     pub fn ejected_by_others(&self, upstream: &Upstream) -> u32 {
         let entry = self.by_name.get(upstream).and_then(|key| self.entries.get(*key));
--- a/src/transport/connection.rs
+++ b/src/transport/connection.rs
@@ -15,6 +15,8 @@
 /// An open connection; dropping it closes the socket.
 pub(super) struct Connection {
     pub sender: SendRequest<Full<Bytes>>,
+    /// The VM that it goes through; none if it is direct.
+    pub through: Option<SocketAddr>,
     task: JoinHandle<()>,
 }
 
@@ -25,15 +27,15 @@
         address: SocketAddr,
         timeout: Duration,
     ) -> Result<Self, Failure> {
-        let stream = connector.connect(address, timeout).await.map_err(Failure::NotSent)?;
-        let (sender, driver) = http1::handshake(TokioIo::new(stream))
+        let opened = connector.connect(address, timeout).await.map_err(Failure::NotSent)?;
+        let (sender, driver) = http1::handshake(TokioIo::new(opened.stream))
             .await
             .map_err(|error| Failure::NotSent(error.to_string()))?;
         // The driver's error reaches the caller through `sender` or the body.
         let task = actix_rt::spawn(async move {
             let _ = driver.await;
         });
-        Ok(Self { sender, task })
+        Ok(Self { sender, task, through: opened.through })
     }
 }
 
--- a/src/transport/connector.rs
+++ b/src/transport/connector.rs
@@ -18,7 +18,12 @@
 impl<T> Stream for T where T: AsyncRead + AsyncWrite + Unpin {}
 
 /// An open connection.
-pub type Opened = Box<dyn Stream>;
+pub struct Opened {
+    /// Its bytes.
+    pub stream: Box<dyn Stream>,
+    /// The VM that it goes through; none if it is direct.
+    pub through: Option<SocketAddr>,
+}
 
 /// Opens connections.
 pub trait Connector {
@@ -27,7 +32,7 @@
         &self,
         address: SocketAddr,
         timeout: Duration,
-    ) -> LocalBoxFuture<'static, Result<Opened, String>>;
+    ) -> LocalBoxFuture<'_, Result<Opened, String>>;
 }
 
 /// Connects by this VM's own links.
@@ -39,21 +44,21 @@
         &self,
         address: SocketAddr,
         timeout: Duration,
-    ) -> LocalBoxFuture<'static, Result<Opened, String>> {
+    ) -> LocalBoxFuture<'_, Result<Opened, String>> {
         async move {
             let connecting = tokio::time::timeout(timeout, TcpStream::connect(address)).await;
             let stream = connecting
                 .map_err(|_| format!("no connection in {} ms", timeout.as_millis()))?
                 .map_err(|error| error.to_string())?;
             configure(&stream).map_err(|error| error.to_string())?;
-            Ok(Box::new(stream) as Opened)
+            Ok(Opened { stream: Box::new(stream), through: None })
         }
         .boxed_local()
     }
 }
 
 /// Sets the options of a connection whose other end may vanish.
-fn configure(stream: &TcpStream) -> std::io::Result<()> {
+pub(crate) fn configure(stream: &TcpStream) -> std::io::Result<()> {
     stream.set_nodelay(true)?;
     socket2::SockRef::from(stream).set_tcp_user_timeout(Some(USER_TIMEOUT))
 }
--- a/src/transport/mod.rs
+++ b/src/transport/mod.rs
@@ -11,6 +11,7 @@
 mod connector;
 mod pool;
 
+pub(crate) use connector::configure;
 pub use connector::{Connector, Direct, Opened, Stream};
 pub use pool::{Body, Pool, Response};
 
--- a/src/transport/pool.rs
+++ b/src/transport/pool.rs
@@ -45,6 +45,8 @@
     pub headers: HeaderMap,
     /// Response body.
     pub body: Body,
+    /// The VM that its connection goes through; none if that is direct.
+    pub through: Option<SocketAddr>,
     /// Whether the body is delimited by its framing rather than by the end of the connection.
     pub framed: bool,
 }
@@ -109,6 +111,11 @@
         self.idle.borrow_mut().remove(&address);
     }
 
+    /// Closes all idle connections.
+    pub fn close_all_idle(&self) {
+        self.idle.borrow_mut().clear();
+    }
+
     fn take(&self, address: SocketAddr) -> Option<Connection> {
         let now = self.clock.now();
         let mut idle = self.idle.borrow_mut();
@@ -141,6 +148,7 @@
             || head.headers.contains_key(TRANSFER_ENCODING)
             || matches!(head.status, StatusCode::NO_CONTENT | StatusCode::NOT_MODIFIED);
         let reuse_until = if framed { self.reuse_until(&head.headers) } else { None };
+        let through = connection.through;
         let body = Body {
             incoming,
             connection: Some(connection),
@@ -148,7 +156,7 @@
             reuse_until,
             pool: self.clone(),
         };
-        Response { status: head.status, headers: head.headers, body, framed }
+        Response { status: head.status, headers: head.headers, body, through, framed }
     }
 
     fn reuse_until(&self, headers: &HeaderMap) -> Option<Time> {
--- a/tests/serve_rate.rs
+++ b/tests/serve_rate.rs
@@ -30,6 +30,7 @@
         caller: address,
         peer: address,
         relay: address,
+        tunnel: None,
         weight: 1.0,
         leaving: false,
     }
