--- a/src/serve/path/mod.rs
+++ b/src/serve/path/mod.rs
@@ -23,7 +23,7 @@
 
 pub use helper::serve;
 pub use links::Links;
-pub use tunnel::{Outcome, open};
+pub use tunnel::{Answer, Chunk, Open, Outcome, open, receive, send};
 
 use super::context::Context;
 use crate::clock::{Clock, Time};
