--- a/src/settings/serve.rs
+++ b/src/settings/serve.rs
@@ -22,7 +22,7 @@
     pub readiness: SocketAddr,
     /// Address at which callers request the addresses of entry VMs.
     pub addresses: SocketAddr,
-    /// Address that receives datagrams of other VMs.
+    /// Address that receives datagrams of other VMs, and by TCP their tunnels to upstreams.
     pub peer: SocketAddr,
     /// Address that receives calls of other VMs and serves the metrics endpoint.
     pub relay: SocketAddr,
