--- a/standins/src/platform/replica.rs
+++ b/standins/src/platform/replica.rs
@@ -34,8 +34,62 @@
     DuplicateEvent,
     /// Crashes: closes the connection and accepts no others.
     Crash,
+    /// Sends bytes that are no answer until the connection is closed.
+    Endless(Endless),
 }
 
+/// Where an answer has no end.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Endless {
+    /// In the status line.
+    StatusLine,
+    /// In one header line.
+    HeaderLine,
+    /// Ever more header lines.
+    Headers,
+    /// Ever more interim answers.
+    Interim,
+    /// In the line of an event, after the head.
+    EventLine,
+    /// Ever more empty lines, after the head.
+    EmptyLines,
+    /// A byte of a comment now and then, after the head.
+    Trickle,
+}
+
+impl Endless {
+    /// What comes first, after the head if there is one.
+    fn begin(self) -> &'static str {
+        match self {
+            Endless::StatusLine => "HTTP/1.1 200 ",
+            Endless::HeaderLine => "HTTP/1.1 200 OK\r\nx-long: ",
+            Endless::Headers => "HTTP/1.1 200 OK\r\n",
+            Endless::Interim => "",
+            Endless::EventLine => "id: 1\ndata: ",
+            Endless::EmptyLines => "",
+            Endless::Trickle => ": ",
+        }
+    }
+
+    /// What comes again and again.
+    fn repeated(self) -> String {
+        match self {
+            Endless::StatusLine | Endless::HeaderLine | Endless::EventLine => "x".repeat(4_096),
+            Endless::Headers => "x-more: 1\r\n".repeat(100),
+            Endless::Interim => "HTTP/1.1 102 Processing\r\n\r\n".repeat(100),
+            Endless::EmptyLines => "\r\n".repeat(2_048),
+            Endless::Trickle => "x".to_owned(),
+        }
+    }
+
+    fn has_head(self) -> bool {
+        matches!(self, Endless::EventLine | Endless::EmptyLines | Endless::Trickle)
+    }
+}
+
+/// Pause between two bytes of `Endless::Trickle`.
+const TRICKLE_PAUSE: Duration = Duration::from_millis(100);
+
 /// A received request.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Request {
@@ -266,12 +320,29 @@
         }
         _ => {}
     }
+    if let Behaviour::Endless(endless) = behaviour
+        && !endless.has_head()
+    {
+        out.write_all(endless.begin().as_bytes())?;
+        loop {
+            out.write_all(endless.repeated().as_bytes())?;
+        }
+    }
     let head = format!(
         "HTTP/1.1 200 OK\r\nparsleybeam-request-id: {request_id}\r\n\
          parsleybeam-response-signature: {SIGNATURE}\r\n{words}\
          content-type: text/event-stream\r\ntransfer-encoding: chunked\r\n\r\n"
     );
     out.write_all(head.as_bytes())?;
+    if let Behaviour::Endless(endless) = behaviour {
+        chunk(out, endless.begin())?;
+        loop {
+            chunk(out, &endless.repeated())?;
+            if endless == Endless::Trickle {
+                thread::sleep(TRICKLE_PAUSE);
+            }
+        }
+    }
     let last_event_id: u64 =
         request.header("last-event-id").and_then(|text| text.parse().ok()).unwrap_or(0);
     for (sent, id) in (last_event_id + 1..=EVENTS).enumerate() {
