Tell other VMs only news of cold and limited upstreams

Cause: each load report repeated a row for every upstream that is or was cold, named a limit or leaves, and each grant to a cold upstream sent a report to all VMs at once.

Change: news is told at once and repeated with growing pauses (repeat.rs); what another VM told is passed on once; the VM that grants next is told of each grant, the others each 0.5 s. VMs that start serving, were silent or state what this VM knows better are told all at once. Load reports to one VM are bounded to 4,096 bytes a second. They moved to report.rs.

--- a/src/serve/cold.rs
+++ b/src/serve/cold.rs
@@ -17,6 +17,7 @@
 
 use super::configuration::Cold;
 use super::departure::Process;
+use super::repeat::Repeat;
 use crate::clock::Time;
 
 /// Time in which the quota doubles after the cold time.
@@ -114,13 +115,22 @@
     revision: u64,
     /// Time at which the last own read was current.
     read_at: Time,
+    /// Time until which other VMs may know worse.
     reported_until: Time,
+    /// When this VM tells the others.
+    repeat: Repeat,
     /// Whether its end is still to be told by `take_ended`.
     is_open: bool,
     /// When the log last said that the quota was used up.
     logged_at: Option<Time>,
 }
 
+impl State {
+    fn is_reported(&self, now: Time) -> bool {
+        !self.reported_until.passed(now) && self.word.until > Time(0)
+    }
+}
+
 /// What an upstream takes, by its cold time.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum Standing {
@@ -188,9 +198,9 @@
             // The entry may have been written before the word that is no entry's.
             if state.word.revision == 0 && state.word.at > last_read_at {
                 let word = Word { until: until.max(state.word.until), revision: 0, ..word };
-                return self.set(upstream, word, now);
+                return self.set(upstream, word, true, now);
             }
-            return self.set(upstream, word, now);
+            return self.set(upstream, word, true, now);
         }
         // A process that appears while others serve is cold unless it says otherwise.
         let supposed = rule.filter(|_| !is_first).map_or(Duration::ZERO, |rule| rule.lasts);
@@ -199,44 +209,44 @@
             left => now.after(left),
         };
         let word = Word { started_unix_ms, at: current_at, until, revision };
-        let change = self.set(upstream, word, now);
+        let change = self.set(upstream, word, true, now);
         if let Some(state) = self.states.get_mut(&upstream) {
             (state.revision, state.read_at) = (revision, current_at);
         }
         change
     }
 
-    /// Records a word of another VM, or of an answer to this one.
-    pub fn record(&mut self, upstream: u32, word: Word, now: Time) -> Option<Change> {
+    /// Records a word: of an answer to this VM if `own`, or of another VM.
+    pub fn record(&mut self, upstream: u32, word: Word, own: bool, now: Time) -> Option<Change> {
         let Some(state) = self.states.get_mut(&upstream) else {
-            return self.set(upstream, word, now);
+            return self.set(upstream, word, own, now);
         };
         let last = state.word;
         if word.started_unix_ms < last.started_unix_ms {
             return None;
         }
         if word.started_unix_ms > last.started_unix_ms {
-            return self.set(upstream, word, now);
+            return self.set(upstream, word, own, now);
         }
         if word.revision != 0 && word.revision == last.revision {
             // The other VM's cold time has ended; the ramp goes on from this VM's own end.
             if word.until <= word.at {
                 let until = if last.until > now { now } else { last.until };
-                return self.set(upstream, Word { until, ..last }, now);
+                return self.set(upstream, Word { until, ..last }, own, now);
             }
             if word.until > last.until {
                 state.reported_until = now.after(REPORTED_FOR);
                 return None;
             }
             let at = word.at.min(last.at);
-            return self.set(upstream, Word { at, ..word }, now);
+            return self.set(upstream, Word { at, ..word }, own, now);
         }
         let is_older = word.revision != 0 && word.revision < state.revision;
         if is_older || word.at <= last.at {
             return None;
         }
         state.revision = state.revision.max(word.revision);
-        self.set(upstream, word, now)
+        self.set(upstream, word, own, now)
     }
 
     /// Records that an upstream may be cold from now on, since it was gone or out of sight.
@@ -246,10 +256,10 @@
         let started_unix_ms =
             last.map_or(started_unix_ms, |last| last.started_unix_ms.max(started_unix_ms));
         let until = now.after(rule.lasts).max(last.map_or(Time(0), |last| last.until));
-        self.set(upstream, Word { started_unix_ms, at: now, until, revision: 0 }, now)
+        self.set(upstream, Word { started_unix_ms, at: now, until, revision: 0 }, true, now)
     }
 
-    fn set(&mut self, upstream: u32, word: Word, now: Time) -> Option<Change> {
+    fn set(&mut self, upstream: u32, word: Word, own: bool, now: Time) -> Option<Change> {
         let last = self.states.get(&upstream).map(|state| state.word.until);
         let was_cold = last.is_some_and(|until| until > now);
         // A word that it is warm doesn't begin the ramp again.
@@ -262,6 +272,7 @@
             revision: word.revision,
             read_at: Time(0),
             reported_until: Time(0),
+            repeat: Repeat::default(),
             is_open: false,
             logged_at: None,
         });
@@ -274,6 +285,7 @@
         // What is only told again isn't passed on again: VMs would keep it alive for ever.
         if is_news {
             state.reported_until = until.max(now).after(REPORTED_FOR);
+            state.repeat = if own { Repeat::word(now) } else { Repeat::heard(now) };
         }
         match (was_cold, is_cold) {
             (false, true) => Some(Change::Learnt),
@@ -315,11 +327,33 @@
         self.states.get(&upstream).map(|state| state.word)
     }
 
-    /// Words that this VM reports to the others.
-    pub fn report(&self, now: Time) -> impl Iterator<Item = (u32, Word)> {
-        let reported = self.states.iter().filter(move |(_, state)| {
-            !state.reported_until.passed(now) && state.word.until > Time(0)
+    /// Words that this VM tells the others now, `most` at once.
+    pub fn take_due(&mut self, most: usize, now: Time) -> Vec<(u32, Word)> {
+        let due = self.states.iter_mut().filter_map(|(upstream, state)| {
+            let is_due = state.is_reported(now) && state.repeat.is_due(now);
+            is_due.then(|| {
+                state.repeat.record_told(now);
+                (*upstream, state.word)
+            })
         });
+        due.take(most).collect()
+    }
+
+    /// Whether another VM's word is to be corrected: its cold time ends later by the same
+    /// revision of the entry.
+    pub fn corrects(&self, upstream: u32, word: Word) -> bool {
+        let own = self.states.get(&upstream).map(|state| state.word);
+        own.is_some_and(|own| {
+            own.revision != 0
+                && own.revision == word.revision
+                && own.started_unix_ms == word.started_unix_ms
+                && own.until.after(REPEATED_WITHIN) < word.until
+        })
+    }
+
+    /// Words that this VM tells one that may have missed them.
+    pub fn report(&self, now: Time) -> impl Iterator<Item = (u32, Word)> {
+        let reported = self.states.iter().filter(move |(_, state)| state.is_reported(now));
         reported.map(|(upstream, state)| (*upstream, state.word))
     }
 
--- a/src/serve/datagram.rs
+++ b/src/serve/datagram.rs
@@ -20,7 +20,7 @@
     #[prost(fixed64, tag = "2")]
     pub incarnation: u64,
     /// The message.
-    #[prost(oneof = "Content", tags = "3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14")]
+    #[prost(oneof = "Content", tags = "3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15")]
     pub content: Option<Content>,
 }
 
@@ -63,6 +63,9 @@
     /// A bucket that the sender let go of in favour of the receiver.
     #[prost(message, tag = "14")]
     Release(Release),
+    /// Sends that the sender has granted.
+    #[prost(message, tag = "15")]
+    Granted(Granted),
 }
 
 /// Load report: the sender's running requests at all upstreams where it has any.
@@ -289,6 +292,14 @@
     pub holder: String,
 }
 
+/// Sends that the sender has granted, told to the VM that grants next.
+#[derive(Clone, PartialEq, Message)]
+pub struct Granted {
+    /// One row per process.
+    #[prost(message, repeated, tag = "1")]
+    pub limited: Vec<Limited>,
+}
+
 /// Notifies the owner of a job that another VM has cancelled it.
 #[derive(Clone, PartialEq, Message)]
 pub struct Changed {
--- a/src/serve/departure.rs
+++ b/src/serve/departure.rs
@@ -9,6 +9,7 @@
 use std::time::Duration;
 
 use super::datagram::{Leaving, Limited, Speed};
+use super::repeat::Repeat;
 use super::upstream::number;
 use crate::clock::Time;
 use crate::id::Upstream;
@@ -59,6 +60,8 @@
     known_at: Time,
     /// When the process told this VM; none if only another VM was told.
     told_at: Option<Time>,
+    /// When this VM tells the others.
+    repeat: Repeat,
 }
 
 /// Processes that leave.
@@ -76,11 +79,16 @@
             return false;
         }
         let is_new = !self.processes.contains_key(&process);
-        let departure =
-            self.processes.entry(process).or_insert(Departure { known_at: now, told_at: None });
+        let departure = self.processes.entry(process).or_insert(Departure {
+            known_at: now,
+            told_at: None,
+            repeat: Repeat::word(now),
+        });
         if own {
             departure.known_at = now;
-            departure.told_at = Some(at);
+            if departure.told_at.replace(at).is_none() {
+                departure.repeat = Repeat::word(now);
+            }
         }
         is_new
     }
@@ -90,6 +98,18 @@
         self.processes.contains_key(&process)
     }
 
+    /// Processes of which the others are told now, with the time; `most` at once.
+    pub fn take_due(&mut self, most: usize, now: Time) -> Vec<(Process, Time)> {
+        let due = self.processes.iter_mut().filter_map(|(process, departure)| {
+            let at = departure.told_at.filter(|at| !at.after(MAX_HINT_AGE).passed(now))?;
+            departure.repeat.is_due(now).then(|| {
+                departure.repeat.record_told(now);
+                (*process, at)
+            })
+        });
+        due.take(most).collect()
+    }
+
     /// Processes that lately told this VM that they leave, with the time.
     pub fn told(&self, now: Time) -> impl Iterator<Item = (Process, Time)> {
         let told = self
--- a/src/serve/gate.rs
+++ b/src/serve/gate.rs
@@ -7,13 +7,14 @@
 use futures_util::future::LocalBoxFuture;
 
 use super::cold;
-use super::datagram::{Content, Grant, Limited, SendRequest};
+use super::datagram::{self, Content, Grant, Limited, SendRequest};
 use super::departure::Process;
 use super::limit::{Admission, Gate, Granted, Row, Word};
 use super::member::{Member, rank};
 use super::peers::{Peers, SILENT_AFTER};
 use super::priority;
 use super::upstream::Use;
+use crate::clock::Time;
 use crate::emit;
 use crate::event::Event;
 use crate::id::Vm;
@@ -130,6 +131,19 @@
         self.heard_share() * if is_first { 1.0 } else { SUBSTITUTE_SHARE }
     }
 
+    /// Tells the VM that grants next, if this one is lost, of a grant: the others hear of it
+    /// with a later load report.
+    pub(super) fn tell_next_granter(&self, key: Process) {
+        let own = self.context().vm();
+        let next = self.granters(key).into_iter().find(|member| &member.vm != own);
+        let table = self.context().table.borrow();
+        let row = table.limits().row(key);
+        if let (Some(next), Some(row)) = (next, row) {
+            let limited = vec![Limited::new(row, self.context().now())];
+            self.send_to(Content::Granted(datagram::Granted { limited }), next.peer);
+        }
+    }
+
     /// Answers another VM's request to grant a send.
     pub(super) fn grant_send(&self, vm: &str, request: &SendRequest) -> Grant {
         let request_id = request.request_id;
@@ -167,23 +181,7 @@
             return Some(Limited { upstream, started_unix_ms, ..Limited::default() });
         }
         let word = self.context().table.borrow().limits().word(process)?;
-        Some(self.encode(Row { process, word, granted: 0 }))
-    }
-
-    fn encode(&self, row: Row) -> Limited {
-        Limited {
-            upstream: row.process.number,
-            started_unix_ms: row.process.started_unix_ms,
-            per_s: row.word.per_s,
-            age_ms: row.word.at.age_millis(self.context().now()),
-            granted: row.granted,
-        }
-    }
-
-    /// What this VM tells the others of limits.
-    pub(super) fn limited(&self) -> Vec<Limited> {
-        let table = self.context().table.borrow();
-        table.limits().report(self.context().now()).map(|row| self.encode(row)).collect()
+        Some(Limited::new(Row { process, word, granted: 0 }, self.context().now()))
     }
 
     /// Records what another VM tells of limits.
@@ -217,3 +215,16 @@
         context.work_changed.notify_one();
     }
 }
+
+impl Limited {
+    /// The row as other VMs are told.
+    pub fn new(row: Row, now: Time) -> Self {
+        Self {
+            upstream: row.process.number,
+            started_unix_ms: row.process.started_unix_ms,
+            per_s: row.word.per_s,
+            age_ms: row.word.at.age_millis(now),
+            granted: row.granted,
+        }
+    }
+}
--- a/src/serve/limit.rs
+++ b/src/serve/limit.rs
@@ -20,6 +20,7 @@
 use super::bucket::Bucket;
 use super::cold::Quota;
 use super::departure::Process;
+use super::repeat::Repeat;
 use super::upstream::Use;
 use crate::clock::Time;
 use crate::id::Vm;
@@ -28,6 +29,8 @@
 const RETENTION: Duration = Duration::from_secs(600);
 /// Time for which this VM reports what a process told it, and what it granted.
 const REPORTED_FOR: Duration = Duration::from_secs(10);
+/// Time for which it tells the others of its own accord what it granted.
+const GRANTED_FOR: Duration = Duration::from_secs(5);
 /// Lowest rate of grants, in requests per second: an answer tells when a limit has ended.
 const MIN_PER_S: f64 = 0.2;
 /// Requests that may be granted at once, on top of those of `BURST_S`.
@@ -92,12 +95,19 @@
     last_item_turn: Time,
     /// What other VMs have granted, as far as it was removed from `bucket`.
     removed: HashMap<Vm, Granted>,
+    /// When the others are told of what this VM knows first-hand.
+    repeat: Repeat,
 }
 
 impl State {
     fn is_reported(&self, now: Time) -> bool {
-        let is_recent = |at: Option<Time>| at.is_some_and(|at| !at.after(REPORTED_FOR).passed(now));
-        is_recent(self.told_at) || is_recent(self.granted_at)
+        is_recent(self.told_at, REPORTED_FOR, now) || is_recent(self.granted_at, REPORTED_FOR, now)
+    }
+
+    fn is_due(&self, now: Time) -> bool {
+        let is_told = is_recent(self.told_at, REPORTED_FOR, now)
+            || is_recent(self.granted_at, GRANTED_FOR, now);
+        is_told && self.repeat.is_due(now)
     }
 }
 
@@ -149,6 +159,7 @@
             last_turn: now,
             last_item_turn: now,
             removed: HashMap::new(),
+            repeat: Repeat::word(now),
         });
         if own {
             state.told_at = Some(now);
@@ -158,6 +169,9 @@
         }
         let before = state.word.per_s;
         state.word = word;
+        if own && before != word.per_s {
+            state.repeat = Repeat::word(now);
+        }
         before != word.per_s
     }
 
@@ -195,6 +209,7 @@
             Ok(()) => {
                 state.granted = state.granted.wrapping_add(1);
                 state.granted_at = Some(now);
+                state.repeat.record_counted(now);
                 Admission::Granted
             }
             Err(wait) => {
@@ -247,7 +262,23 @@
         state.bucket.remove(f64::from(count), per_s, burst, now);
     }
 
-    /// What this VM reports to the others.
+    /// What this VM tells the others now, `most` rows at once.
+    pub fn take_due(&mut self, most: usize, now: Time) -> Vec<Row> {
+        let due = self.states.iter_mut().filter(|(_, state)| state.is_due(now));
+        let row = |(process, state): (&Process, &mut State)| {
+            state.repeat.record_told(now);
+            Row { process: *process, word: state.word, granted: state.granted }
+        };
+        due.take(most).map(row).collect()
+    }
+
+    /// What this VM reports of one process; none if it has never named a limit.
+    pub fn row(&self, process: Process) -> Option<Row> {
+        let state = self.states.get(&process)?;
+        Some(Row { process, word: state.word, granted: state.granted })
+    }
+
+    /// What this VM tells one that may have missed it.
     pub fn report(&self, now: Time) -> impl Iterator<Item = Row> {
         let reported = self.states.iter().filter(move |(_, state)| state.is_reported(now));
         reported.map(|(process, state)| Row {
@@ -262,3 +293,7 @@
 fn burst(per_s: f64) -> f64 {
     MIN_BURST + BURST_S * per_s
 }
+
+fn is_recent(at: Option<Time>, span: Duration, now: Time) -> bool {
+    at.is_some_and(|at| !at.after(span).passed(now))
+}
--- a/src/serve/mod.rs
+++ b/src/serve/mod.rs
@@ -19,6 +19,7 @@
 //! | order and resumption of streams | `event`, `origin` | `relay`, `peers` |
 //! | items, results, positions | `jobs::Job` | `jobs::Jobs` |
 //! | addresses that callers are told | `address` | `frontend` |
+//! | what VMs tell each other unasked | `repeat` | `report` |
 //! | membership and ownership | `member` | `poller` |
 //! | bounds of answers | `transport::bound` | `reading`, `transport` |
 //! | memory held for slow readers | `held` | `relay`, `unread`, `frontend` |
@@ -63,6 +64,8 @@
 pub mod record;
 mod refusal;
 pub mod relay;
+pub mod repeat;
+mod report;
 pub mod reserve;
 pub mod resume;
 mod selection;
--- a/src/serve/peers.rs
+++ b/src/serve/peers.rs
@@ -11,8 +11,7 @@
 
 use super::channel::Relays;
 use super::context::{Context, View};
-use super::datagram::{Changed, Content, Datagram, Leaving, Load, Opened, Row};
-use super::departure::Process;
+use super::datagram::{Changed, Content, Datagram, Load, Opened, Row};
 use super::grant;
 use super::hand_over;
 use super::jobs::{Jobs, Pending};
@@ -20,6 +19,7 @@
 use super::member::Member;
 use super::path::Helpers;
 use super::place::Contender;
+use super::repeat::Budget;
 use super::resume;
 use super::upstream::{self, PeerLoad};
 use crate::clock::Time;
@@ -29,14 +29,6 @@
 
 /// Maximum size of a datagram, in bytes.
 const MAX_DATAGRAM_BYTES: usize = 64 << 10;
-/// Minimum pause between two load reports.
-const MIN_LOAD_INTERVAL: Duration = Duration::from_millis(8);
-/// Maximum time between two load reports in a small fleet.
-const HEARTBEAT: Duration = Duration::from_millis(250);
-/// The same in a fleet of more than `SMALL_FLEET` members; well below `SILENT_AFTER`.
-const LARGE_HEARTBEAT: Duration = Duration::from_millis(500);
-/// Maximum number of members of a small fleet.
-const SMALL_FLEET: usize = 12;
 /// Time without a load report after which a peer's load isn't counted and its address
 /// isn't given to callers.
 pub(super) const SILENT_AFTER: Duration = Duration::from_millis(1_200);
@@ -44,8 +36,6 @@
 const GONE_AFTER: Duration = Duration::from_millis(2_200);
 /// The same while most other peers are silent too, so that this VM may be the one cut off.
 const GONE_AFTER_IF_ISOLATED: Duration = Duration::from_millis(6_600);
-/// Age of the last successful read after which a VM reports the store as unreachable.
-const STORE_UNREACHABLE_AFTER: Duration = Duration::from_millis(2_000);
 /// Time after which the entry of a peer that reports the store as unreachable is removed
 /// by a VM that can reach it.
 const REMOVE_UNREACHABLE_AFTER: Duration = Duration::from_millis(300);
@@ -85,6 +75,9 @@
     pub(super) origin_requests: resume::Requests,
     pub(super) requesting: hand_over::Requesting,
     sequence: Cell<u64>,
+    pub(super) report_budget: RefCell<Budget>,
+    /// VMs whose statements were corrected, with the time until which they aren't again.
+    pub(super) corrected: RefCell<HashMap<Vm, Time>>,
     started: Time,
     relays: Relays,
     helpers: Helpers,
@@ -110,6 +103,8 @@
             origin_requests: resume::Requests::default(),
             requesting: hand_over::Requesting::default(),
             sequence: Cell::new(0),
+            report_budget: RefCell::default(),
+            corrected: RefCell::default(),
             started,
             relays,
             helpers,
@@ -141,88 +136,6 @@
         }
     }
 
-    /// Reports this VM's load periodically and whenever it changes, until the process exits.
-    pub async fn announce(self: Rc<Self>) {
-        loop {
-            let members = self.context.view.borrow().members.len();
-            let heartbeat = if members > SMALL_FLEET { LARGE_HEARTBEAT } else { HEARTBEAT };
-            let _ = tokio::time::timeout(heartbeat, self.context.load_changed.notified()).await;
-            self.send_load();
-            tokio::time::sleep(MIN_LOAD_INTERVAL).await;
-        }
-    }
-
-    /// Sends one load report.
-    pub fn send_load(&self) {
-        self.context.update_speeds();
-        self.sequence.set(self.sequence.get() + 1);
-        let rows = self.rows();
-        let serving = self.serving();
-        let confirmed_at = self.context.view.borrow().confirmed_at;
-        let store_reachable =
-            !confirmed_at.after(STORE_UNREACHABLE_AFTER).passed(self.context.now());
-        let items_waiting = self.context.items_waiting.get();
-        let ejected = self.context.table.borrow().ejected(self.context.now());
-        let sequence = self.sequence.get();
-        let items_in_time = self.context.items_in_time.get();
-        let load = Load {
-            sequence,
-            rows,
-            serving,
-            store_reachable,
-            items_waiting,
-            ejected,
-            items_in_time,
-            leaving: self.leaving(),
-            limited: self.limited(),
-            cut_off: self.context.paths.is_cut(),
-            cold: self.cold(),
-            evacuated: self.evacuated(),
-            speeds: self.speeds(),
-            online_denied: self.context.priority.borrow().denied(self.context.now()),
-        };
-        self.broadcast(Content::Load(load));
-    }
-
-    /// Upstreams that lately told this VM that they leave.
-    fn leaving(&self) -> Vec<Leaving> {
-        let now = self.context.now();
-        let table = self.context.table.borrow();
-        let row = |(process, at): (Process, Time)| Leaving {
-            upstream: process.number,
-            started_unix_ms: process.started_unix_ms,
-            age_ms: at.age_millis(now),
-        };
-        table.told_leaving(now).map(row).collect()
-    }
-
-    fn record_leaving(&self, vm: &str, leaving: &[Leaving]) {
-        let now = self.context.now();
-        for row in leaving {
-            let (process, at) = (Process::from(*row), now.before_millis(row.age_ms));
-            if !self.context.table.borrow_mut().record_leaving(process, at, false, now) {
-                continue;
-            }
-            let table = self.context.table.borrow();
-            let upstream = table.name(process).map(ToString::to_string).unwrap_or_default();
-            emit!(self.context.log, Event::UpstreamLeaving,
-                "upstream" => upstream, "told_by" => vm,
-                "age_ms" => row.age_ms);
-            metrics::counter!("serve_upstreams_leaving_total", "told_by" => "peer").increment(1);
-        }
-    }
-
-    fn rows(&self) -> Vec<Row> {
-        let table = self.context.table.borrow();
-        let busy = table.iter().filter(|(_, entry)| entry.own.total() > 0);
-        let row = |(_, entry): (_, &upstream::Entry)| Row {
-            upstream: entry.number,
-            online: entry.own.online,
-            batch: entry.own.batch,
-        };
-        busy.map(row).collect()
-    }
-
     /// Whether this VM accepts callers.
     pub fn serving(&self) -> bool {
         !self.context.stopping.get()
@@ -258,12 +171,19 @@
         recent.filter(|(vm, _)| !is_listed(vm)).map(|(_, state)| state.address).collect()
     }
 
-    /// Sends a datagram to all other VMs.
-    pub(super) fn broadcast(&self, content: Content) {
+    /// Sends a datagram to all other VMs; its size in bytes.
+    pub(super) fn broadcast(&self, content: Content) -> usize {
         let bytes = self.datagram(content);
         for address in self.others() {
             self.send(&bytes, address);
         }
+        bytes.len()
+    }
+
+    /// Sequence number of the next load report.
+    pub(super) fn next_sequence(&self) -> u64 {
+        self.sequence.set(self.sequence.get() + 1);
+        self.sequence.get()
     }
 
     /// Sends a datagram to one VM.
@@ -286,7 +206,9 @@
         match datagram.content {
             Some(Content::Load(load)) => {
                 self.record_leaving(&datagram.vm, &load.leaving);
-                self.record_cold(&datagram.vm, &load.cold);
+                if self.record_cold(&datagram.vm, &load.cold) {
+                    self.correct(&Vm::from(datagram.vm.as_str()), from);
+                }
                 self.record_evacuated(&datagram.vm, &load.evacuated);
                 self.record_load(Vm::from(datagram.vm), datagram.incarnation, from, load);
             }
@@ -302,6 +224,10 @@
                 let grant = self.grant_send(&datagram.vm, &request);
                 self.send_to(Content::Grant(grant), from);
             }
+            Some(Content::Granted(granted)) => {
+                let vm = Vm::from(datagram.vm);
+                self.record_limited(&vm, datagram.incarnation, &granted.limited);
+            }
             Some(Content::Grant(grant)) => self.grant_requests.deliver(grant),
             Some(Content::Changed(changed)) => {
                 jobs.drop_job(&changed.job, "another VM cancelled the job")
@@ -333,11 +259,18 @@
         {
             return;
         }
-        if states.get(&vm).is_none_or(|last| last.incarnation != incarnation) {
+        let last = states.get(&vm);
+        let is_new = last.is_none_or(|last| last.incarnation != incarnation);
+        let was_silent = last.is_none_or(|last| !last.is_recent(now));
+        // Before it has read the store it can't use what it is told of upstreams.
+        let begins = load.serving && last.is_none_or(|last| !last.serving);
+        drop(states);
+        if is_new {
             self.send_crashes(address);
-            self.tell_cold();
         }
-        drop(states);
+        if is_new || was_silent || begins {
+            self.send_state(address);
+        }
         self.record_limited(&vm, incarnation, &load.limited);
         self.record_speeds(&vm, &load.speeds);
         self.record_online_denied(&vm, load.online_denied);
--- a/src/serve/quota.rs
+++ b/src/serve/quota.rs
@@ -78,7 +78,7 @@
         let (at, started_unix_ms) = (self.now(), process.started_unix_ms);
         let until = at.after(left.min(MAX_REMAINING));
         let word = Word { started_unix_ms, at, until, revision: 0 };
-        let change = self.cold.borrow_mut().record(process.number, word, at);
+        let change = self.cold.borrow_mut().record(process.number, word, true, at);
         self.apply_cold_change(process.number, change, "answer");
     }
 
@@ -144,8 +144,7 @@
         let admission = table.limits_mut().grant_quota(key, quota, part, now);
         drop(table);
         match admission {
-            // The next VM that grants must know of it at once.
-            Admission::Granted => context.load_changed.notify_one(),
+            Admission::Granted => self.tell_next_granter(key),
             Admission::Denied(_) => {
                 let logs =
                     context.cold.borrow_mut().logs_used_up(key.number, USED_UP_INTERVAL, now);
@@ -159,35 +158,21 @@
         admission
     }
 
-    /// What this VM tells the others of cold upstreams.
-    pub(super) fn cold(&self) -> Vec<datagram::Cold> {
-        let now = self.context().now();
-        let cold = self.context().cold.borrow();
-        cold.report(now).map(|(upstream, word)| encode(upstream, word, now)).collect()
-    }
-
-    /// Has a VM that has just started told of cold upstreams before it sends many requests.
-    pub(super) fn tell_cold(&self) {
-        let (context, now) = (self.context(), self.context().now());
-        if context.cold.borrow().report(now).next().is_some() {
-            context.load_changed.notify_one();
-        }
-    }
-
     /// What this VM knows of the upstream whose quota is granted under a key.
     pub(super) fn cold_row(&self, key: Process) -> Option<datagram::Cold> {
         if !cold::is_key(key) {
             return None;
         }
         let word = self.context().cold.borrow().word(key.number)?;
-        Some(encode(key.number, word, self.context().now()))
+        Some(datagram::Cold::new(key.number, word, self.context().now()))
     }
 
-    /// Records what another VM tells of cold upstreams.
-    pub(super) fn record_cold(&self, vm: &str, rows: &[datagram::Cold]) {
+    /// Records what another VM tells of cold upstreams; whether this VM knows better.
+    pub(super) fn record_cold(&self, vm: &str, rows: &[datagram::Cold]) -> bool {
         let (context, now) = (self.context(), self.context().now());
+        let mut knows_better = false;
         if context.cold_bounds().is_none() {
-            return;
+            return false;
         }
         for row in rows {
             let left = Duration::from_millis(row.remaining_ms);
@@ -201,9 +186,11 @@
             let until = if left.is_zero() { at } else { now.after(left) };
             let (started_unix_ms, revision) = (row.started_unix_ms, row.revision);
             let word = Word { started_unix_ms, at, until, revision };
-            let change = context.cold.borrow_mut().record(row.upstream, word, now);
+            knows_better |= context.cold.borrow().corrects(row.upstream, word);
+            let change = context.cold.borrow_mut().record(row.upstream, word, false, now);
             context.apply_cold_change(row.upstream, change, vm);
         }
+        knows_better
     }
 }
 
@@ -212,12 +199,15 @@
     Duration::from_millis(left_ms).min(MAX_REMAINING)
 }
 
-fn encode(upstream: u32, word: Word, now: Time) -> datagram::Cold {
-    datagram::Cold {
-        upstream,
-        started_unix_ms: word.started_unix_ms,
-        remaining_ms: now.until(word.until).as_millis() as u64,
-        age_ms: word.at.age_millis(now),
-        revision: word.revision,
+impl datagram::Cold {
+    /// The row for a word.
+    pub fn new(upstream: u32, word: Word, now: Time) -> Self {
+        Self {
+            upstream,
+            started_unix_ms: word.started_unix_ms,
+            remaining_ms: now.until(word.until).as_millis() as u64,
+            age_ms: word.at.age_millis(now),
+            revision: word.revision,
+        }
     }
 }
--- a/src/serve/upstream.rs
+++ b/src/serve/upstream.rs
@@ -309,6 +309,11 @@
         self.departures.told(now)
     }
 
+    /// The same, as far as the others are told now.
+    pub fn take_told_leaving(&mut self, most: usize, now: Time) -> Vec<(Process, Time)> {
+        self.departures.take_due(most, now)
+    }
+
     /// Records what a process of an upstream said of its limit, in an answer that this VM
     /// read if `own`, or another one; whether this changes the limit.
     pub fn record_limit(&mut self, process: Process, word: Word, own: bool, now: Time) -> bool {
