Tell all VMs of cancelled jobs, repeatedly

Cause, by reading: the VM that cancels a job told its owner once, in one datagram, to the VM that its own last read named. A VM that reads a job's items to take it over did so as well, if the job was cancelled during the read.

--- a/src/serve/context.rs
+++ b/src/serve/context.rs
@@ -15,7 +15,7 @@
 use super::crash::Crashes;
 use super::evacuation::Evacuations;
 use super::held::Held;
-use super::jobs::Pending;
+use super::jobs::{Ended, Pending};
 use super::limit::Gate;
 use super::member::{self, Member};
 use super::origin::{History, Origin, Origins};
@@ -88,6 +88,8 @@
     pub contenders: RefCell<Vec<Contender>>,
     /// Memory that answers hold until their callers have read them.
     pub held: Arc<Held>,
+    /// Cancelled jobs.
+    pub ended: RefCell<Ended>,
     /// Priority of online requests at limited upstreams.
     pub priority: RefCell<Priority>,
     /// Requests suspected of having crashed upstreams.
@@ -149,6 +151,7 @@
             items_waiting: Cell::new(false),
             items_in_time: Cell::new(0),
             contenders: RefCell::default(),
+            ended: RefCell::default(),
             priority: RefCell::default(),
             crashes: RefCell::default(),
             parts_completed: RefCell::default(),
--- a/src/serve/datagram.rs
+++ b/src/serve/datagram.rs
@@ -115,6 +115,9 @@
     /// Speeds of upstreams that the sender has measured, in some of its reports.
     #[prost(message, repeated, tag = "14")]
     pub speeds: Vec<Speed>,
+    /// Jobs that callers lately cancelled.
+    #[prost(string, repeated, tag = "15")]
+    pub ended: Vec<String>,
 }
 
 /// An upstream that is or was cold.
--- a/src/serve/jobs/manager.rs
+++ b/src/serve/jobs/manager.rs
@@ -214,6 +214,10 @@
         if self.owned.borrow().get(id).is_some_and(|owned| owned.job.fence >= fence) {
             return;
         }
+        // It may have been cancelled while its items were read.
+        if self.context.ended.borrow().contains(id) {
+            return;
+        }
         let now = self.context.now();
         let route = self.context.configuration().and_then(|configuration| {
             configuration.route(&snapshot.head.host, &snapshot.head.path).cloned()
@@ -336,6 +340,13 @@
             "items_left" => owned.job.remaining());
     }
 
+    /// Applies another VM's word that a job was cancelled.
+    pub fn record_ended(&self, id: &str) {
+        if self.context.ended.borrow_mut().record(id, false, self.context.now()) {
+            self.drop_job(id, "another VM cancelled the job");
+        }
+    }
+
     /// Cancels a job; false if no such job was ever accepted.
     pub async fn cancel(&self, id: &str) -> Result<bool> {
         if self.cache.complete_listing(id).is_some() {
@@ -368,6 +379,8 @@
             return Ok(false);
         };
         emit!(self.context.log, Event::JobCancelled, "job" => id);
+        self.context.ended.borrow_mut().record(id, true, self.context.now());
+        self.context.load_changed.notify_one();
         self.drop_job(id, "the caller cancelled the job");
         Ok(true)
     }
--- a/src/serve/jobs/takeover.rs
+++ b/src/serve/jobs/takeover.rs
@@ -49,6 +49,7 @@
         let view = self.context.view.borrow();
         let owned = self.owned.borrow();
         let accepting = self.accepting.borrow();
+        let ended = self.context.ended.borrow();
         // An entry that names this process without a job here was written by a
         // call whose response was lost.
         let is_ours = |pending: &Pending| pending.is_owned_by(&self.context.member);
@@ -58,6 +59,7 @@
         view.pending
             .iter()
             .filter(|(id, _)| !owned.contains_key(*id) && !accepting.contains(*id))
+            .filter(|(id, _)| !ended.contains(id))
             .filter(|(id, (pending, _))| {
                 let chosen = owner(&view.members, id);
                 let chosen = chosen.is_some_and(|member| &member.vm == self.context.vm());
--- a/src/serve/peers.rs
+++ b/src/serve/peers.rs
@@ -210,6 +210,7 @@
                     self.correct(&Vm::from(datagram.vm.as_str()), from);
                 }
                 self.record_evacuated(&datagram.vm, &load.evacuated);
+                load.ended.iter().for_each(|job| jobs.record_ended(job));
                 self.record_load(Vm::from(datagram.vm), datagram.incarnation, from, load);
             }
             Some(Content::TokenRequest(request)) => {
@@ -229,9 +230,7 @@
                 self.record_limited(&vm, datagram.incarnation, &granted.limited);
             }
             Some(Content::Grant(grant)) => self.grant_requests.deliver(grant),
-            Some(Content::Changed(changed)) => {
-                jobs.drop_job(&changed.job, "another VM cancelled the job")
-            }
+            Some(Content::Changed(changed)) => jobs.record_ended(&changed.job),
             Some(Content::Opened(opened)) => {
                 let Some(pending) = opened.pending else { return };
                 jobs.directory.borrow_mut().announce(&opened.job, pending, self.context.now());
--- a/src/serve/report.rs
+++ b/src/serve/report.rs
@@ -65,6 +65,7 @@
             leaving: leaving.into_iter().map(|told| Leaving::new(told, now)).collect(),
             limited: limited.into_iter().map(|row| Limited::new(row, now)).collect(),
             cold: cold.into_iter().map(|(number, word)| Cold::new(number, word, now)).collect(),
+            ended: self.context().ended.borrow_mut().take_due(MAX_NEWS, now),
             speeds: self.speeds(),
             ..self.own_load()
         };
@@ -80,7 +81,9 @@
         drop(table);
         let cold = self.context().cold.borrow();
         let cold = cold.report(now).map(|(number, word)| Cold::new(number, word, now)).collect();
-        let load = Load { leaving, limited, cold, ..self.own_load() };
+        let ended = self.context().ended.borrow();
+        let ended = ended.recent(now).map(str::to_owned).collect();
+        let load = Load { leaving, limited, cold, ended, ..self.own_load() };
         self.send_to(Content::Load(load), address);
     }
 
