Serve requests and jobs from a process's first read on

Hypothesis: after a kill of all VMs callers are refused and items wait although store and upstreams are there.

The entries that a VM maintains are written beside the loop that reads the store, which a write could hold up for 2 s. Once its own entry is written a VM takes over its earlier process's jobs at once.

--- a/src/serve/context.rs
+++ b/src/serve/context.rs
@@ -18,6 +18,7 @@
 use super::jobs::{Ended, Pending};
 use super::limit::Gate;
 use super::member::{self, Member};
+use super::opening::Opening;
 use super::origin::{History, Origin, Origins};
 use super::path::Paths;
 use super::place::Contender;
@@ -88,6 +89,8 @@
     pub contenders: RefCell<Vec<Contender>>,
     /// Memory that answers hold until their callers have read them.
     pub held: Arc<Held>,
+    /// Whether requests can be served since the process started.
+    pub opening: Opening,
     /// Cancelled jobs.
     pub ended: RefCell<Ended>,
     /// Priority of online requests at limited upstreams.
@@ -137,6 +140,7 @@
             pool: Pool::new(clock.clone(), paths.clone()),
             peer_pool: Pool::new(clock.clone(), Rc::new(Direct)),
             paths,
+            opening: Opening::new(clock.now()),
             clock,
             log,
             store,
--- a/src/serve/jobs/takeover.rs
+++ b/src/serve/jobs/takeover.rs
@@ -1,7 +1,8 @@
 //! Takes over jobs whose owner is gone.
 //!
 //! One member, determined by the list of members, takes over each such job by
-//! writing itself into the pending entry. The new version of the entry fences
+//! writing itself into the pending entry. So does the next process of the owner's VM, which
+//! knows first that the owner is gone. The new version of the entry fences
 //! off the previous owner.
 
 use std::rc::Rc;
@@ -63,7 +64,8 @@
             .filter(|(id, (pending, _))| {
                 let chosen = owner(&view.members, id);
                 let chosen = chosen.is_some_and(|member| &member.vm == self.context.vm());
-                is_ours(pending) || (chosen && !is_live(pending))
+                let is_heir = chosen || pending.owner == self.context.vm().as_str();
+                is_ours(pending) || (is_heir && !is_live(pending))
             })
             .map(|(id, (pending, version))| (id.clone(), pending.clone(), *version))
             .collect()
--- a/src/serve/mod.rs
+++ b/src/serve/mod.rs
@@ -10,6 +10,7 @@
 //! | concern | logic | I/O |
 //! |---|---|---|
 //! | upstream selection and load shedding | `place`, `departure` | `exchange` |
+//! | requests that come before the first read | `opening` | `frontend` |
 //! | rate limits of organisations | `rate`, `reserve` | `token`, `hand_over` |
 //! | limits that upstreams name | `limit`, `priority` | `gate` |
 //! | quotas of cold upstreams | `cold` | `quota` |
@@ -49,6 +50,7 @@
 pub mod limit;
 pub mod member;
 pub mod node;
+mod opening;
 pub mod origin;
 pub mod path;
 pub mod peers;
--- a/src/serve/poller.rs
+++ b/src/serve/poller.rs
@@ -51,6 +51,8 @@
     registered_at: Time,
     /// State that an earlier process of this VM left in the store.
     predecessor: Predecessor,
+    /// Whether entries are being written.
+    maintaining: bool,
     unreachable: bool,
     in_contact: bool,
     /// Send time of the first read since which all reads have succeeded.
@@ -76,7 +78,7 @@
             match self.reader.read().await {
                 Ok(read) => {
                     if let Some((snapshot, confirmed_at)) = read {
-                        self.apply(snapshot, confirmed_at).await;
+                        self.apply(snapshot, confirmed_at);
                     }
                     pause = RETRY;
                     let poll = self.context.settings().bounds.poll_interval();
@@ -119,7 +121,7 @@
         self.context.load_changed.notify_one();
     }
 
-    async fn apply(&self, snapshot: Snapshot, sent_at: Time) {
+    fn apply(self: &Rc<Self>, snapshot: Snapshot, sent_at: Time) {
         let now = self.context.now();
         self.state.borrow_mut().answered_since.get_or_insert(sent_at);
         if std::mem::replace(&mut self.state.borrow_mut().unreachable, false) {
@@ -136,21 +138,49 @@
         self.apply_shared(&snapshot.shared, sent_at, now);
         self.peers.recount();
         self.jobs.reconcile(sent_at);
+        self.peers.request_releases();
+        // Apart, since a write may take seconds, and what is read next may not wait for it.
+        if !std::mem::replace(&mut self.state.borrow_mut().maintaining, true) {
+            let poller = self.clone();
+            actix_rt::spawn(async move {
+                poller.maintain(&snapshot, sent_at).await;
+                poller.context.opening.open();
+                poller.state.borrow_mut().maintaining = false;
+            });
+        }
+    }
+
+    /// Writes the entries that this VM is responsible for, by a snapshot that was current at
+    /// `sent_at`.
+    async fn maintain(&self, snapshot: &Snapshot, sent_at: Time) {
         let was_registered = self.state.borrow().registered;
-        if let Err(error) = self.maintain_entries(&snapshot).await {
+        if let Err(error) = self.maintain_entries(snapshot).await {
             emit!(self.context.log, Event::StoreCallFailed, "reason" => error.detail.as_str());
         }
-        // The write of the entry was conditional on the version that was read, so nobody has
-        // taken this VM off the list since. Without this the buckets of a VM that crashed
-        // stay closed for one more poll.
         let state = self.state.borrow();
-        if !was_registered && state.registered {
-            self.update_limiter(state.predecessor, sent_at, self.context.now());
+        if was_registered || !state.registered {
+            return;
         }
+        // The write of the entry was conditional on the version that was read, so nobody has
+        // taken this VM off the list since. Without this the buckets and jobs of a VM that
+        // crashed wait for one more poll.
+        self.update_limiter(state.predecessor, sent_at, self.context.now());
         drop(state);
+        self.record_own_entry();
+        self.jobs.reconcile(sent_at);
         self.peers.request_releases();
     }
 
+    /// Lists this process in the view: it has written its entry since the last read.
+    fn record_own_entry(&self) {
+        let vm = self.context.vm();
+        let mut view = self.context.view.borrow_mut();
+        let listed = view.members.iter_mut().find(|listed| &listed.member.vm == vm);
+        if let Some(listed) = listed {
+            listed.member = self.context.member.clone();
+        }
+    }
+
     fn apply_upstreams(&self, snapshot: &Snapshot, sent_at: Time, now: Time) {
         let last = self.context.view.borrow().confirmed_at;
         let outage = last != Time(0) && last.after(OUTAGE).passed(sent_at);
