Begin buckets of rates with a credit after a crash

Change: the holder's entry tells when a process of its VM last began with a credit; if that is 10 s ago or more, the next process's buckets begin with a quarter of the tolerance. The deputies' part falls from 0.9 to 0.65, so that the sum stays below the tolerance. No credit is given while a member's entry doesn't state these rules. Also: a process that got no processor for its first 200 ms refused all that had arrived, as the wait for the first read was counted from its start.

--- a/src/serve/context.rs
+++ b/src/serve/context.rs
@@ -89,7 +89,7 @@
     pub contenders: RefCell<Vec<Contender>>,
     /// Memory that answers hold until their callers have read them.
     pub held: Arc<Held>,
-    /// Whether requests can be served since the process started.
+    /// Whether the outcome of the first read of the store is known.
     pub opening: Opening,
     /// Cancelled jobs.
     pub ended: RefCell<Ended>,
@@ -140,7 +140,7 @@
             pool: Pool::new(clock.clone(), paths.clone()),
             peer_pool: Pool::new(clock.clone(), Rc::new(Direct)),
             paths,
-            opening: Opening::new(clock.now()),
+            opening: Opening::default(),
             clock,
             log,
             store,
--- a/src/serve/frontend.rs
+++ b/src/serve/frontend.rs
@@ -72,7 +72,7 @@
         let head = self.context.protocol.head(&headers);
         let request_id = head.request_id.clone().unwrap_or_default();
         let mut record = Record::new(self.context.clone(), &request_id);
-        self.context.opening.wait(self.context.now()).await;
+        self.context.opening.wait().await;
         let outcome = match self.read_request(&request, headers, payload).await {
             Ok(incoming) => self.dispatch(incoming, head, &mut record).await,
             Err(error) => Err(error),
--- a/src/serve/member.rs
+++ b/src/serve/member.rs
@@ -34,12 +34,24 @@
     /// Address at which it serves tunnels to upstreams; none in entries of older versions.
     #[serde(default)]
     pub tunnel: Option<SocketAddr>,
+    /// What its rate limiter does; none in entries of older versions.
+    #[serde(default)]
+    pub rates: Option<Rates>,
     /// Capacity relative to other VMs.
     pub weight: f64,
     /// Whether the VM is shutting down gracefully.
     pub leaving: bool,
 }
 
+/// What the rate limiter of a VM does.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Rates {
+    /// Whether it hands buckets over.
+    pub hands_over: bool,
+    /// When it last began with a credit after a crash, as a Unix time in milliseconds.
+    pub credited_unix_ms: u64,
+}
+
 impl Member {
     /// Store key of a VM's entry.
     pub fn key_of(vm: &Vm) -> String {
--- a/src/serve/node.rs
+++ b/src/serve/node.rs
@@ -97,6 +97,7 @@
         peer,
         relay: relay.address,
         tunnel: Some(tunnels.address),
+        rates: None,
         weight: settings.weight,
         leaving: false,
     };
--- a/src/serve/poller.rs
+++ b/src/serve/poller.rs
@@ -9,10 +9,10 @@
 use std::time::Duration;
 
 use super::context::Context;
-use super::jobs::{Jobs, PENDING_PREFIX, Pending};
+use super::jobs::{Jobs, PENDING_PREFIX, Pending, unix_ms};
 use super::member::{self, MEMBER_PREFIX, Member, owner};
 use super::peers::Peers;
-use super::rate::Predecessor;
+use super::rate::{CREDIT_INTERVAL, Predecessor};
 use super::reader::Reader;
 use super::store::{Commit, Expectation, Snapshot, Transaction};
 use crate::clock::Time;
@@ -51,6 +51,8 @@
     registered_at: Time,
     /// State that an earlier process of this VM left in the store.
     predecessor: Predecessor,
+    /// When a process of this VM last began with a credit, as a Unix time in milliseconds.
+    credited_unix_ms: u64,
     /// Whether entries are being written.
     maintaining: bool,
     unreachable: bool,
@@ -98,6 +100,7 @@
     }
 
     fn record_failed_read(&self, reason: &str) {
+        self.context.opening.decide();
         self.context.evacuations.borrow_mut().record_failed_read(self.context.now());
         let mut state = self.state.borrow_mut();
         state.answered_since = None;
@@ -144,7 +147,7 @@
             let poller = self.clone();
             actix_rt::spawn(async move {
                 poller.maintain(&snapshot, sent_at).await;
-                poller.context.opening.open();
+                poller.context.opening.decide();
                 poller.state.borrow_mut().maintaining = false;
             });
         }
@@ -177,7 +180,7 @@
         let mut view = self.context.view.borrow_mut();
         let listed = view.members.iter_mut().find(|listed| &listed.member.vm == vm);
         if let Some(listed) = listed {
-            listed.member = self.context.member.clone();
+            listed.member = self.member();
         }
     }
 
@@ -238,7 +241,11 @@
                     state.predecessor
                 }
                 Some(member) if member.leaving => Predecessor::Left,
-                Some(_) => Predecessor::Crashed,
+                Some(member) => {
+                    let (predecessor, credited_unix_ms) = after_crash(member, &members);
+                    state.credited_unix_ms = credited_unix_ms;
+                    predecessor
+                }
                 // A peer has removed the entry, and others may have taken over.
                 None => Predecessor::None,
             };
@@ -309,7 +316,8 @@
 
     async fn register(&self) -> Result<()> {
         let own = self.own_entry();
-        if own.as_ref().is_some_and(|listed| listed.member == self.context.member) {
+        let member = self.member();
+        if own.as_ref().is_some_and(|listed| listed.member == member) {
             self.state.borrow_mut().registered = true;
             return Ok(());
         }
@@ -325,7 +333,7 @@
         let key = Member::key_of(self.context.vm());
         let transaction = Transaction {
             expected: vec![Expectation { key: key.clone(), version }],
-            puts: vec![(key, self.context.member.encode())],
+            puts: vec![(key, member.encode())],
             deletes: Vec::new(),
         };
         if let Commit::Applied(_) = self.context.store.commit(transaction).await? {
@@ -335,6 +343,14 @@
         Ok(())
     }
 
+    /// This VM's entry.
+    fn member(&self) -> Member {
+        let hands_over = self.context.limiter.borrow().hands_over();
+        let credited_unix_ms = self.state.borrow().credited_unix_ms;
+        let rates = Some(member::Rates { hands_over, credited_unix_ms });
+        Member { rates, ..self.context.member.clone() }
+    }
+
     fn own_entry(&self) -> Option<member::Listed> {
         let view = self.context.view.borrow();
         view.members.iter().find(|listed| &listed.member.vm == self.context.vm()).cloned()
@@ -385,10 +401,24 @@
     /// its jobs are taken over. The entry stays for the VM's next process; peers
     /// remove it if none starts.
     pub async fn leave(&self) -> Result<()> {
-        let own = self.context.member.clone();
+        let own = self.member();
         let member = Member { leaving: true, incarnation: NO_INCARNATION, ..own };
         let put = (Member::key_of(self.context.vm()), member.encode());
         let transaction = Transaction { puts: vec![put], ..Transaction::default() };
         self.context.store.commit(transaction).await.map(|_| ())
     }
 }
+
+/// What the entry of a process that crashed tells its VM's next one, and when a process of
+/// the VM last began with a credit: only where all VMs keep their parts of the tolerance.
+fn after_crash(own: &Member, members: &[member::Listed]) -> (Predecessor, u64) {
+    let all_know = members.iter().all(|listed| listed.member.rates.is_some());
+    let Some(rates) = own.rates.filter(|rates| all_know && rates.hands_over) else {
+        return (Predecessor::Crashed, unix_ms());
+    };
+    let since = Duration::from_millis(unix_ms().saturating_sub(rates.credited_unix_ms));
+    match since >= CREDIT_INTERVAL {
+        true => (Predecessor::CrashedLongAgo, unix_ms()),
+        false => (Predecessor::Crashed, rates.credited_unix_ms),
+    }
+}
--- a/src/serve/rate/mod.rs
+++ b/src/serve/rate/mod.rs
@@ -24,6 +24,9 @@
 //! whoever waited for that long knows that no earlier holder is left. The reserve is then
 //! kept by a few deputies instead of being split over all VMs.
 //!
+//! A VM that comes back after a crash is the holder of the same buckets, and doesn't know what
+//! they held. They begin with a credit, a part of the tolerance that deputies don't use.
+//!
 //! A bucket refuses before the limit is reached: what is asked at once after a calm time is
 //! owed up to rate times window plus burst, and a bucket holds the burst only. So a holder
 //! whose bucket is empty counts what it granted within the window, and sends who asks to the
@@ -65,6 +68,9 @@
 const MEMBERS_MARGIN: usize = 8;
 /// Fraction of each rate and burst that is spread over the members.
 pub const LOCAL_SHARE: f64 = 0.6;
+/// Time between two starts of a VM after crashes that begin with a credit; longer than the
+/// window over which limits are measured.
+pub const CREDIT_INTERVAL: Duration = Duration::from_secs(10);
 /// Time for which a release is repeated to the VM that asked for it: its answer may be lost.
 const RELEASE_REPEATED_FOR: Duration = Duration::from_millis(1_000);
 /// Time for which the answer to a request for a bucket is accepted: one that comes later may
@@ -171,6 +177,8 @@
     /// The entry of a process that crashed: the others count this VM, and nobody
     /// has taken over the buckets that it held.
     Crashed,
+    /// The same, and no process of this VM has begun with a credit for `CREDIT_INTERVAL`.
+    CrashedLongAgo,
 }
 
 /// Rate limiter of one VM: the shared buckets that it holds, its local buckets
@@ -242,7 +250,8 @@
         // entry can't have been removed since.
         let was_listed = own(&list) == own(&self.list) && !removal_possible;
         let holder_kept = !first && (!holder_expired || was_listed || list == self.list);
-        let takes_over = first && predecessor == Predecessor::Crashed;
+        let has_credit = first && predecessor == Predecessor::CrashedLongAgo;
+        let takes_over = first && predecessor == Predecessor::Crashed || has_credit;
         if !local_kept {
             let others_count_us = first && predecessor != Predecessor::None;
             self.local_from = if others_count_us { now } else { now.after(LOCAL_SHARE_MAX_AGE) };
@@ -285,7 +294,8 @@
                     // held them before.
                     let resigned = !hands_over && resigned(members, organisation);
                     let from = if takes_over || resigned { now } else { holder_from };
-                    let bucket = Bucket::new(0.0, from);
+                    let credit = if has_credit { self.credit(tenant) } else { 0.0 };
+                    let bucket = Bucket::new(credit, from);
                     let held_bucket =
                         HeldBucket { from, bucket, granted: Window::default(), accepted_at: None };
                     self.held_buckets.insert(organisation.clone(), held_bucket);
--- a/src/serve/rate/take.rs
+++ b/src/serve/rate/take.rs
@@ -9,6 +9,12 @@
 use crate::serve::reserve::{self, DEPUTY_MAX_AGE};
 
 impl Limiter {
+    /// Tokens with which a shared bucket begins after a crash.
+    pub(super) fn credit(&self, tenant: &Tenant) -> f64 {
+        let burst = tenant.burst * self.held_share(tenant);
+        reserve::credit(tenant, self.tolerance).min(burst)
+    }
+
     /// Share of a rate and burst that is not spread over the VMs.
     pub(super) fn held_share(&self, tenant: &Tenant) -> f64 {
         if is_spread(tenant, self.min_members()) { 1.0 - LOCAL_SHARE } else { 1.0 }
--- a/src/serve/reserve.rs
+++ b/src/serve/reserve.rs
@@ -21,8 +21,11 @@
 pub const DEPUTIES: usize = 2;
 /// Fraction of the tolerated excess that all reserves together use when split over all VMs.
 const SPLIT_SHARE: f64 = 0.7;
-/// The same when kept by deputies; the rest is a margin for clocks that differ in speed.
-const DEPUTY_SHARE: f64 = 0.9;
+/// The same when kept by deputies.
+const DEPUTY_SHARE: f64 = 0.65;
+/// Fraction with which buckets begin after a crash of their holder. What is left is a margin
+/// for clocks that differ in speed.
+const CREDIT_SHARE: f64 = 0.25;
 /// Maximum age of the members' list with which a deputy grants tokens: above the interval at
 /// which it is read and the age that a snapshot of a peer may have.
 pub const DEPUTY_MAX_AGE: Duration = Duration::from_millis(2_500);
@@ -110,6 +113,11 @@
     excess(tenant, tolerance) * DEPUTY_SHARE
 }
 
+/// Tokens with which a bucket begins after a crash of its holder.
+pub(super) fn credit(tenant: &Tenant, tolerance: Tolerance) -> f64 {
+    excess(tenant, tolerance) * CREDIT_SHARE
+}
+
 /// Requests over the limit that are tolerated in a window.
 fn excess(tenant: &Tenant, tolerance: Tolerance) -> f64 {
     limit(tenant, tolerance) * tolerance.overrun + tolerance.slack
--- a/tests/rate_load/mod.rs
+++ b/tests/rate_load/mod.rs
@@ -8,7 +8,9 @@
 use parsleybeam::id::{Organisation, Vm};
 use parsleybeam::serve::configuration::Tenant;
 use parsleybeam::serve::member::{Listed, Member, owner, ranked};
-use parsleybeam::serve::rate::{Bucket, Grant, Limiter, NO_REQUEST, Offer, Predecessor, Tolerance};
+use parsleybeam::serve::rate::{
+    Bucket, CREDIT_INTERVAL, Grant, Limiter, NO_REQUEST, Offer, Predecessor, Tolerance,
+};
 use parsleybeam::serve::reserve::DEPUTIES;
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -36,6 +38,7 @@
         peer: address,
         relay: address,
         tunnel: None,
+        rates: None,
         weight: 1.0,
         leaving: false,
     }
@@ -50,6 +53,8 @@
     /// The process doesn't run before this time.
     pub down_until: Time,
     pub predecessor: Predecessor,
+    /// When it last began with a credit.
+    pub credited_at: Time,
     pub starting: bool,
     /// When a planned stop ends the process.
     pub stops_at: Time,
@@ -97,6 +102,7 @@
             store_unreachable_until: now,
             down_until: now,
             predecessor: Predecessor::None,
+            credited_at: Time(0),
             starting: true,
             stops_at: Time::NEVER,
         };
@@ -239,6 +245,12 @@
             process.starting = false;
             process.predecessor = match listed {
                 true if leaving => Predecessor::Left,
+                true if self.hands_over
+                    && process.credited_at.after(CREDIT_INTERVAL).passed(now) =>
+                {
+                    process.credited_at = now;
+                    Predecessor::CrashedLongAgo
+                }
                 true => Predecessor::Crashed,
                 false => Predecessor::None,
             };
--- a/tests/serve_source.rs
+++ b/tests/serve_source.rs
@@ -20,6 +20,7 @@
         peer: address,
         relay: address,
         tunnel: None,
+        rates: None,
         weight: 0.12,
         leaving: false,
     }
