--- a/src/serve/gauge.rs
+++ b/src/serve/gauge.rs
@@ -31,9 +31,6 @@
     gauge!("serve_upstreams", "state" => "limited").set(f64::from(limited));
     gauge!("serve_slots_taken", "use" => "online").set(f64::from(online));
     gauge!("serve_slots_taken", "use" => "batch").set(f64::from(batch));
-    for (service, room) in jobs.lasting_rooms() {
-        gauge!("serve_batch_room", "service" => service.to_string()).set(f64::from(room));
-    }
     let (open, items_left) = jobs.open_counts();
     gauge!("serve_jobs", "of" => "this VM").set(open as f64);
     gauge!("serve_items_left").set(items_left as f64);
--- a/src/serve/jobs/dispatch.rs
+++ b/src/serve/jobs/dispatch.rs
@@ -12,13 +12,11 @@
 //! few slots free on average and items wait on many VMs at once.
 
 use std::cell::Cell;
-use std::collections::HashSet;
 use std::rc::Rc;
 use std::time::Duration;
 
 use tokio::sync::Notify;
 
-use super::forecast::{Claim, Forecast, Usage, Waiting, is_drawn};
 use super::job::Task;
 use super::manager::{Jobs, unix_ms};
 use super::record::{Head, Item};
@@ -30,7 +28,7 @@
 use crate::id::{Service, Version};
 use crate::serve::configuration::{Configuration, Route};
 use crate::serve::origin::Origin;
-use crate::serve::place::{self, BatchChoice, Contender, Criteria, Room, Spread};
+use crate::serve::place::{self, BatchChoice, Contender, Criteria, Room};
 use crate::serve::slot::Slot;
 use crate::serve::upstream::{Key, Timing, Use};
 
@@ -87,7 +85,6 @@
 /// The most urgent waiting item of a job.
 struct Candidate {
     rank: Rank,
-    ends_at: Time,
     job: String,
     index: usize,
 }
@@ -115,7 +112,6 @@
     /// Starts and interrupts items in an endless loop.
     pub async fn dispatch(self: Rc<Self>) {
         loop {
-            self.observe_load();
             self.interrupt_excess();
             self.dead_letter_expired();
             let mut choice = Choice::NoWaitingItem;
@@ -182,7 +178,7 @@
         let now = self.context.now();
         let configuration = self.context.configuration().ok_or(Choice::NoWaitingItem)?;
         let mut choice = Choice::NoWaitingItem;
-        for Candidate { rank, ends_at, job: id, index } in self.candidates(&configuration, now) {
+        for Candidate { job: id, index, .. } in self.candidates(&configuration, now) {
             let mut owned = self.owned.borrow_mut();
             let Some(owned) = owned.get_mut(&id) else { continue };
             let job = &mut owned.job;
@@ -194,8 +190,7 @@
                 Some(origin) => (Some(&origin.service), Some(&origin.version)),
                 None => (route.target(self.context.random()), None),
             };
-            let claim = self.claim(service, rank.due(), now)(ends_at);
-            let slot = match self.find_slot(service, version, claim, now) {
+            let slot = match self.find_slot(service, version, now) {
                 Ok(slot) => slot,
                 Err(reason) => {
                     choice = reason;
@@ -226,13 +221,10 @@
             let is_full = |origin: &Origin| {
                 place::room(&table, &origin.service, &origin.version, now) == Room::Full
             };
-            let claim = self.claim(route.target(0), job.due, now);
-            let may_start = |ends_at: Time| claim(ends_at) != Claim::Lasting(0);
-            let ready = job.ready_where(timing, is_full, may_start, now);
+            let ready = job.ready(timing, is_full, now);
             in_time += ready.in_time;
             if let Some((rank, index)) = ready.first {
-                let ends_at = job.ends_at(index, timing, now);
-                candidates.push(Candidate { rank, ends_at, job: id.clone(), index });
+                candidates.push(Candidate { rank, job: id.clone(), index });
             }
         }
         candidates.sort_by(|a, b| (a.rank, &a.job).cmp(&(b.rank, &b.job)));
@@ -280,61 +272,10 @@
             "next_version" => slot.origin.version.as_str(), "events_dropped" => events);
     }
 
-    /// Feeds the forecasts of the services that batch routes lead to.
-    fn observe_load(&self) {
-        if !self.context.settings().batch.lasting_room {
-            self.forecasts.borrow_mut().clear();
-            return;
-        }
-        let now = self.context.now();
-        let table = self.context.table.borrow();
-        let mut forecasts = self.forecasts.borrow_mut();
-        let services: HashSet<&Service> =
-            table.iter().map(|(_, entry)| &entry.registration.service).collect();
-        forecasts.retain(|service, _| services.contains(service));
-        for service in services {
-            let usage = Usage::of(&table, service, now);
-            let forecast = forecasts.entry(service.clone()).or_default();
-            forecast.observe(usage, now);
-            if let Some(room) = forecast.change(usage, now) {
-                emit!(self.context.log, Event::RoomForecast, "service" => service.as_str(),
-                    "room" => room, "slots" => usage.slots, "online" => usage.online,
-                    "batch" => usage.batch);
-            }
-        }
-    }
-
-    /// Slots that stay free of online requests, by service.
-    pub fn lasting_rooms(&self) -> Vec<(Service, u32)> {
-        let (table, now) = (self.context.table.borrow(), self.context.now());
-        let room = |(service, forecast): (&Service, &Forecast)| {
-            (service.clone(), forecast.lasting(Usage::of(&table, service, now)))
-        };
-        self.forecasts.borrow().iter().map(room).collect()
-    }
-
-    /// Slots that an item due at `due` may take, by the time at which it would end.
-    fn claim(&self, service: Option<&Service>, due: Time, now: Time) -> impl Fn(Time) -> Claim {
-        let known = service.and_then(|service| {
-            let forecast = self.forecasts.borrow().get(service)?.clone();
-            Some((forecast, Usage::of(&self.context.table.borrow(), service, now)))
-        });
-        let contenders = self.context.contenders.borrow();
-        let elsewhere: u32 = contenders.iter().map(|contender| contender.items).sum();
-        let queued = elsewhere + self.context.items_in_time.get();
-        move |ends_at| match &known {
-            Some((forecast, usage)) => {
-                forecast.claim(*usage, Waiting { due, ends_at, queued }, now)
-            }
-            None => Claim::Any,
-        }
-    }
-
     fn find_slot(
         &self,
         service: Option<&Service>,
         version: Option<&Version>,
-        claim: Claim,
         now: Time,
     ) -> std::result::Result<Slot, Choice> {
         let criteria = Criteria {
@@ -350,20 +291,9 @@
             Contender { vm: self.context.vm().clone(), items: self.context.items_in_time.get() };
         let slice_number = unix_ms() / TIME_SLICE.as_millis() as u64;
         let table = self.context.table.borrow();
-        let free = place::upstreams_with_room(&table, criteria.service, now);
-        let spread = match claim {
-            Claim::Any => Spread::Even,
-            Claim::LowStep | Claim::Lasting(_) => Spread::Packed,
-        };
-        let turn = |upstream| {
-            let is_drawn = match claim {
-                Claim::Any | Claim::LowStep => true,
-                Claim::Lasting(room) => is_drawn(upstream, slice_number, room, free),
-            };
-            is_drawn && place::is_turn(&own, &contenders, upstream, slice_number)
-        };
+        let turn = |upstream| place::is_turn(&own, &contenders, upstream, slice_number);
         let headroom = place::headroom(&table, criteria.service);
-        let place = place::batch_spread(&table, criteria, headroom, spread, turn, now);
+        let place = place::batch(&table, criteria, headroom, turn, now);
         drop(table);
         match place {
             BatchChoice::Upstream(key) => {
@@ -423,10 +353,6 @@
             let table = self.context.table.borrow();
             let Some(entry) = table.get(key) else { continue };
             let slots = entry.registration.slots;
-            let service = &entry.registration.service;
-            let least_done = self.forecasts.borrow().get(service).is_some_and(|forecast| {
-                forecast.cuts_least_done(Usage::of(&table, service, now), now)
-            });
             let before = entry.batch_yielding_first;
             let count = interrupt_count(entry.load().total(), slots, before, entry.own.batch);
             let mut here: Vec<&RunningItem> =
@@ -434,9 +360,7 @@
             // Items that are being interrupted still hold their slots and are counted first.
             let order = |item: &&RunningItem| {
                 let rank = Rank::new(item.due, item.ends_at);
-                // Least is lost by the one that can't end in time or has least done.
-                let by_loss = least_done.then_some((rank.is_late(), item.begun));
-                (item.interrupted.get(), by_loss, rank, item.started)
+                (item.interrupted.get(), rank, item.started)
             };
             here.sort_by_key(|item| std::cmp::Reverse(order(item)));
             for item in here.into_iter().take(count as usize) {
--- a/src/serve/jobs/job.rs
+++ b/src/serve/jobs/job.rs
@@ -233,16 +233,6 @@
     pub fn ready<F>(&self, timing: Timing, is_full: F, now: Time) -> Ready
     where
         F: Fn(&Origin) -> bool,
-    {
-        self.ready_where(timing, is_full, |_| true, now)
-    }
-
-    /// The same, where the most urgent item is one that may start by the time at which it
-    /// would end.
-    pub fn ready_where<F, S>(&self, timing: Timing, is_full: F, may_start: S, now: Time) -> Ready
-    where
-        F: Fn(&Origin) -> bool,
-        S: Fn(Time) -> bool,
     {
         let mut ready = Ready::default();
         for (index, (item, state)) in self.spec.items.iter().zip(&self.states).enumerate() {
@@ -254,23 +244,13 @@
             let ends_at = expected_end(item, progress, timing, now);
             let rank = Rank::new(self.due, ends_at);
             ready.in_time += u32::from(!rank.is_late());
-            if ready.first.is_none_or(|(first, _)| rank < first) && may_start(ends_at) {
+            if ready.first.is_none_or(|(first, _)| rank < first) {
                 ready.first = Some((rank, index));
             }
         }
         ready
     }
 
-    /// Expected time at which an item ends if it starts at `now`.
-    pub fn ends_at(&self, index: usize, timing: Timing, now: Time) -> Time {
-        match self.states.get(index) {
-            Some(State::Waiting { progress, .. }) => {
-                expected_end(&self.spec.items[index], progress, timing, now)
-            }
-            _ => now,
-        }
-    }
-
     /// Service and version that a waiting item should go on at; none if any will do.
     pub fn resumes_at(&self, index: usize, now: Time) -> Option<&Origin> {
         match self.states.get(index)? {
--- a/src/serve/jobs/manager.rs
+++ b/src/serve/jobs/manager.rs
@@ -11,7 +11,6 @@
 use super::cache::{Cache, Listing};
 use super::directory::Directory;
 use super::dispatch::RunningItem;
-use super::forecast::Forecast;
 use super::job::{Cause, Job, Snapshot, Status, Times};
 use super::record::{
     Head, Item, Pending, Spec, ended_key, head_key, pending_key, result_key, spec_key,
@@ -20,7 +19,6 @@
 use crate::emit;
 use crate::error::{Error, Kind, Result};
 use crate::event::Event;
-use crate::id::Service;
 use crate::serve::configuration::Route;
 use crate::serve::context::Context;
 use crate::serve::store::{Commit, Expectation, Transaction};
@@ -43,8 +41,6 @@
     pub(super) context: Rc<Context>,
     pub(super) owned: RefCell<HashMap<String, Owned>>,
     pub(super) running: RefCell<Vec<RunningItem>>,
-    /// Forecasts of lasting room, by service; empty without `batch.lasting_room`.
-    pub(super) forecasts: RefCell<HashMap<Service, Forecast>>,
     /// Cache of jobs read from the store or from their owners.
     pub cache: Cache,
     /// Owner of each known job.
@@ -73,7 +69,6 @@
             context,
             owned: RefCell::default(),
             running: RefCell::default(),
-            forecasts: RefCell::default(),
             taking_over: Cell::new(false),
             leaving: Notify::new(),
             accepting: RefCell::default(),
--- a/src/serve/mod.rs
+++ b/src/serve/mod.rs
@@ -79,4 +79,3 @@
 mod token;
 mod unread;
 pub mod upstream;
-pub mod waiting;
--- a/src/serve/place.rs
+++ b/src/serve/place.rs
@@ -247,22 +247,6 @@
     usable.map(|(_, entry)| entry.free_slots()).sum()
 }
 
-/// Number of upstreams of a service with a free slot for items.
-pub fn upstreams_with_room(table: &Table, service: &Service, now: Time) -> u32 {
-    let free = |entry: &Entry| takes_items(entry, now) && entry.free_slots() > 0;
-    table.of_service(service).filter(|(_, entry)| free(entry)).count() as u32
-}
-
-/// How items are distributed over upstreams.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Spread {
-    /// To the upstream with the fewest requests.
-    Even,
-    /// To the upstream with the most items below half of its slots: few upstreams have items,
-    /// and those leave online requests a slot that an item can be cut for.
-    Packed,
-}
-
 /// Selects an upstream for a batch item: one with a free slot at which it is this
 /// VM's turn. `headroom` slots of the service stay free.
 pub fn batch<T>(
@@ -272,21 +256,6 @@
     turn: T,
     now: Time,
 ) -> BatchChoice
-where
-    T: Fn(u32) -> bool,
-{
-    batch_spread(table, criteria, headroom, Spread::Even, turn, now)
-}
-
-/// As `batch`, with a choice of the distribution.
-pub fn batch_spread<T>(
-    table: &Table,
-    criteria: Criteria<'_>,
-    headroom: u32,
-    spread: Spread,
-    turn: T,
-    now: Time,
-) -> BatchChoice
 where
     T: Fn(u32) -> bool,
 {
@@ -310,17 +279,12 @@
         .map(|(key, entry)| {
             let tried = criteria.tried.contains(&entry.registration.upstream);
             let elsewhere = &entry.registration.data_centre != criteria.data_centre;
-            let (slots, batch) = (entry.registration.slots, entry.load().batch);
             let rank = (
                 tried,
                 entry.limit_per_s.is_none() == criteria.items_wait,
                 // Online requests choose fast upstreams, so items are preempted least at slow ones.
                 (entry.speed.log2() * SPEED_CLASSES).round() as i32,
-                match spread {
-                    Spread::Even => entry.load().total(),
-                    Spread::Packed if batch < slots / 2 => slots / 2 - batch,
-                    Spread::Packed => slots + batch,
-                },
+                entry.load().total(),
                 elsewhere,
                 criteria.tie_breaker as u32 ^ entry.number,
             );
--- a/src/settings/serve.rs
+++ b/src/settings/serve.rs
@@ -38,9 +38,6 @@
     /// Rate limits of organisations.
     #[serde(default)]
     pub rates: Rates,
-    /// Batch items beside online requests.
-    #[serde(default)]
-    pub batch: Batch,
     /// Selection of upstreams.
     #[serde(default)]
     pub placing: Placing,
@@ -92,15 +89,6 @@
     pub hand_over: bool,
 }
 
-/// Switches of batch scheduling.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
-#[serde(deny_unknown_fields, default)]
-pub struct Batch {
-    /// Whether items that can wait take only slots that stay free through the next step of
-    /// online load.
-    pub lasting_room: bool,
-}
-
 /// Switches of the selection of upstreams.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields, default)]
--- a/tests/fleet_load/load.rs
+++ b/tests/fleet_load/load.rs
@@ -38,15 +38,12 @@
     Headroom,
     /// As the third, and late items last, and turns by the number of items.
     Current,
-    /// As the fourth, and items that can wait take only room that lasts
-    /// (`batch.lasting_room`); the item with least done is preempted.
-    Lasting,
 }
 
 impl Design {
     /// Whether items that can't end in time any more go last.
     pub fn defers_late(self) -> bool {
-        matches!(self, Design::Current | Design::Lasting)
+        self == Design::Current
     }
 }
 
--- a/tests/fleet_load/mod.rs
+++ b/tests/fleet_load/mod.rs
@@ -16,7 +16,7 @@
 
 use parsleybeam::clock::Time;
 use parsleybeam::id::{DataCentre, Service, Upstream, Version, Vm};
-use parsleybeam::serve::jobs::{Claim, Forecast, Rank, Usage, Waiting, interrupt_count, is_drawn};
+use parsleybeam::serve::jobs::{Rank, interrupt_count};
 use parsleybeam::serve::place::{self, BatchChoice, Contender, Criteria};
 use parsleybeam::serve::store::Registration;
 use parsleybeam::serve::upstream::{Key, Table};
@@ -28,8 +28,6 @@
 const STEP_MS: u64 = 5;
 /// Interval at which VMs learn each other's loads.
 const REPORT_MS: u64 = 10;
-/// Interval at which VMs observe the use of slots for their forecasts.
-const OBSERVE_MS: u64 = 50;
 /// Slots of each upstream.
 const SLOTS: u32 = 8;
 /// Time to the first event of a request that runs.
@@ -54,7 +52,7 @@
 impl Item {
     fn rank(&self, design: Design, now_ms: u64) -> Rank {
         let ends_at = match design {
-            Design::Current | Design::Lasting => time(now_ms + self.remaining_ms),
+            Design::Current => time(now_ms + self.remaining_ms),
             Design::Due | Design::Reserve | Design::Headroom => Time(0),
         };
         Rank::new(time(self.due_ms), ends_at)
@@ -75,7 +73,6 @@
     table: Table,
     keys: Vec<Key>,
     waiting: Vec<Item>,
-    forecast: Forecast,
 }
 
 struct World {
@@ -128,7 +125,7 @@
                 found.expect("the upstream is in the table").0
             };
             let keys = all.iter().map(key).collect();
-            Member { table, keys, waiting: Vec::new(), forecast: Forecast::default() }
+            Member { table, keys, waiting: Vec::new() }
         };
         Self {
             random: ChaCha8Rng::seed_from_u64(seed),
@@ -176,9 +173,6 @@
                 self.preempt(vm);
                 self.start(vm, &contenders);
             }
-            if self.now_ms.is_multiple_of(OBSERVE_MS) && self.design == Design::Lasting {
-                (0..self.vms.len()).for_each(|vm| self.observe(vm));
-            }
             if self.now_ms.is_multiple_of(REPORT_MS) {
                 self.report();
             }
@@ -298,13 +292,6 @@
         }
     }
 
-    fn observe(&mut self, vm: usize) {
-        let now = time(self.now_ms);
-        let member = &mut self.vms[vm];
-        let usage = Usage::of(&member.table, &names().0, now);
-        member.forecast.observe(usage, now);
-    }
-
     fn preempt(&mut self, vm: usize) {
         for upstream in 0..self.upstreams.len() {
             let member = &mut self.vms[vm];
@@ -321,22 +308,11 @@
 
     fn preempt_one(&mut self, vm: usize, upstream: usize) {
         let (design, now_ms) = (self.design, self.now_ms);
-        let member = &self.vms[vm];
-        let usage = Usage::of(&member.table, &names().0, time(now_ms));
-        let least_done =
-            design == Design::Lasting && member.forecast.cuts_least_done(usage, time(now_ms));
         let order = |run: &Run| {
             let item = run.item.expect("only items are preempted");
-            let left_ms = item.remaining_ms.min(run.left_ms);
-            let is_late = Item { remaining_ms: left_ms, ..item }.rank(design, now_ms).is_late();
             match design {
-                Design::Lasting if least_done => {
-                    (is_late, None, u64::MAX - (item.length_ms - left_ms))
-                }
-                Design::Current | Design::Lasting => {
-                    (false, Some(item.rank(design, now_ms)), run.sent_ms)
-                }
-                Design::Due | Design::Reserve | Design::Headroom => (false, None, run.sent_ms),
+                Design::Current => (Some(item.rank(design, now_ms)), run.sent_ms),
+                Design::Due | Design::Reserve | Design::Headroom => (None, run.sent_ms),
             }
         };
         let own = self.upstreams[upstream].iter().enumerate();
@@ -358,17 +334,10 @@
         if waiting.is_empty() {
             return;
         }
-        let usage = Usage::of(&self.vms[vm].table, &names().0, time(now_ms));
-        let claim = |item: &Item| match design {
-            Design::Lasting => self.claim(vm, usage, *item, contenders),
-            _ => Claim::Any,
-        };
         let first = (0..waiting.len())
             .filter(|index| ready(&waiting[*index]))
-            .filter(|index| claim(&waiting[*index]) != Claim::Lasting(0))
             .min_by_key(|index| waiting[*index].rank(design, now_ms));
         let Some(first) = first else { return };
-        let claim = claim(&waiting[first]);
         let own = self.contender(vm).expect("an item is ready");
         let (service, data_centre) = names();
         let tie_breaker = self.random.random();
@@ -382,11 +351,6 @@
         };
         let slice = now_ms / SLICE_MS;
         let table = &self.vms[vm].table;
-        let free = place::upstreams_with_room(table, &service, time(now_ms));
-        let may_claim = |number| match claim {
-            Claim::Any | Claim::LowStep => true,
-            Claim::Lasting(room) => is_drawn(number, slice, room, free),
-        };
         let reserve = u32::from(design == Design::Reserve);
         let has_room = |number| {
             if reserve == 0 {
@@ -395,36 +359,18 @@
             let entry = table.iter().find(|(_, entry)| entry.number == number);
             entry.is_some_and(|(_, entry)| entry.free_slots() > reserve)
         };
-        let turn = |number| {
-            may_claim(number) && has_room(number) && place::is_turn(&own, contenders, number, slice)
-        };
+        let turn = |number| has_room(number) && place::is_turn(&own, contenders, number, slice);
         let headroom = match design {
             Design::Due | Design::Reserve => 0,
-            Design::Headroom | Design::Current | Design::Lasting => {
-                place::headroom(table, criteria.service)
-            }
-        };
-        let spread = match claim {
-            Claim::LowStep | Claim::Lasting(_) => place::Spread::Packed,
-            Claim::Any => place::Spread::Even,
+            Design::Headroom | Design::Current => place::headroom(table, criteria.service),
         };
-        let choice = place::batch_spread(table, criteria, headroom, spread, turn, time(now_ms));
+        let choice = place::batch(table, criteria, headroom, turn, time(now_ms));
         if let BatchChoice::Upstream(key) = choice {
             let item = self.vms[vm].waiting.remove(first);
             self.send(vm, key, Some(item));
         }
     }
 
-    /// What an item on a VM may take.
-    fn claim(&self, vm: usize, usage: Usage, item: Item, contenders: &[Contender]) -> Claim {
-        let waiting = Waiting {
-            due: time(item.due_ms),
-            ends_at: time(self.now_ms + item.remaining_ms),
-            queued: contenders.iter().map(|contender| contender.items).sum(),
-        };
-        self.vms[vm].forecast.claim(usage, waiting, time(self.now_ms))
-    }
-
     fn contender(&self, vm: usize) -> Option<Contender> {
         let ready = self.vms[vm].waiting.iter().filter(|item| item.not_before_ms <= self.now_ms);
         let late = |item: &&Item| item.rank(self.design, self.now_ms).is_late();
