--- a/src/event/catalogue.rs
+++ b/src/event/catalogue.rs
@@ -79,7 +79,6 @@
     517 Evacuated Warning "evacuation of a data centre learnt or taken back";
     518 AnswerUnbounded Warning "an answer passed a bound in bytes or time and was cut";
     519 ReaderSlow Info "a caller reads its response slowly";
-    521 UpstreamSpeed Info "speed of an upstream relative to the usual one changed";
 
     601 SharesMoved Info "share table adopted";
     602 RateReleased Info "bucket of a rate limit released to another VM";
--- a/src/serve/context.rs
+++ b/src/serve/context.rs
@@ -26,7 +26,6 @@
 use super::protocol::{Part, Protocol};
 use super::rate::{Limiter, Tolerance};
 use super::slot::Slot;
-use super::speed::{Pace, Speeds};
 use super::store::Store;
 use super::upstream::{Key, Table, Use};
 use crate::clock::{Clock, Time};
@@ -73,8 +72,6 @@
     pub cold: RefCell<cold::Upstreams>,
     /// Evacuated data centres.
     pub evacuations: RefCell<Evacuations>,
-    /// Speeds of upstreams, by the measurements of all VMs.
-    pub speeds: RefCell<Speeds>,
     /// Shared state, as last read from the store.
     pub view: RefCell<View>,
     /// Rate limiter.
@@ -148,7 +145,6 @@
             table: RefCell::default(),
             cold: RefCell::default(),
             evacuations: RefCell::default(),
-            speeds: RefCell::default(),
             view: RefCell::default(),
             limiter: RefCell::new(limiter),
             stopping: Cell::new(false),
@@ -240,7 +236,6 @@
             started_unix_ms: entry.registration.started_unix_ms,
             address: entry.registration.address,
             announced: Cell::new(false),
-            pace: Cell::new(Pace::default()),
             context: self.clone(),
         };
         let is_limited =
--- a/src/serve/datagram.rs
+++ b/src/serve/datagram.rs
@@ -112,9 +112,6 @@
     /// last second.
     #[prost(uint32, tag = "13")]
     pub online_denied: u32,
-    /// Speeds of upstreams that the sender has measured, in some of its reports.
-    #[prost(message, repeated, tag = "14")]
-    pub speeds: Vec<Speed>,
     /// Jobs that callers lately cancelled.
     #[prost(string, repeated, tag = "15")]
     pub ended: Vec<String>,
@@ -151,26 +148,6 @@
     pub age_ms: u32,
 }
 
-/// Speed of a process of an upstream.
-#[derive(Clone, Copy, PartialEq, Message)]
-pub struct Speed {
-    /// Number of the upstream, as given by `upstream::number`.
-    #[prost(fixed32, tag = "1")]
-    pub upstream: u32,
-    /// Start time of the process, as a Unix time in milliseconds.
-    #[prost(fixed64, tag = "2")]
-    pub started_unix_ms: u64,
-    /// Its speed, in thousandths of the usual one.
-    #[prost(uint32, tag = "3")]
-    pub factor: u32,
-    /// Number of samples.
-    #[prost(uint32, tag = "4")]
-    pub samples: u32,
-    /// Time since it was measured, in milliseconds.
-    #[prost(uint32, tag = "5")]
-    pub age_ms: u32,
-}
-
 /// A process of an upstream that has named a limit, now or before.
 #[derive(Clone, Copy, PartialEq, Message)]
 pub struct Limited {
--- a/src/serve/departure.rs
+++ b/src/serve/departure.rs
@@ -8,7 +8,7 @@
 use std::collections::HashMap;
 use std::time::Duration;
 
-use super::datagram::{Leaving, Limited, Speed};
+use super::datagram::{Leaving, Limited};
 use super::repeat::Repeat;
 use super::upstream::number;
 use crate::clock::Time;
@@ -48,12 +48,6 @@
     }
 }
 
-impl From<Speed> for Process {
-    fn from(row: Speed) -> Self {
-        Self { number: row.upstream, started_unix_ms: row.started_unix_ms }
-    }
-}
-
 #[derive(Clone, Copy, Debug)]
 struct Departure {
     /// When this VM learnt of it.
--- a/src/serve/jobs/run.rs
+++ b/src/serve/jobs/run.rs
@@ -178,7 +178,6 @@
         let mut output_bytes: usize = self.progress.events.iter().map(String::len).sum();
         let last_event_id_before = self.progress.last_event_id;
         loop {
-            let (asked_at, count) = (self.context.now(), self.progress.events.len());
             let data = match answer.body.next().await {
                 Ok(Some(data)) => data,
                 Ok(None) => break,
@@ -203,10 +202,6 @@
                     }
                 }
             }
-            let arrived = self.progress.events.len() - count;
-            if arrived > 0 {
-                self.slot.record_events(arrived, asked_at);
-            }
         }
         match decoder.finish() {
             // Without framing, a cut connection looks like the end of the stream,
--- a/src/serve/mod.rs
+++ b/src/serve/mod.rs
@@ -15,7 +15,6 @@
 //! | limits that upstreams name | `limit`, `priority` | `gate` |
 //! | quotas of cold upstreams | `cold` | `quota` |
 //! | evacuations of data centres | `evacuation` | `hint` |
-//! | speed of upstreams | `speed::Speeds` | `speed` |
 //! | ways to upstreams | `path::Links` | `path` |
 //! | order and resumption of streams | `event`, `origin` | `relay`, `peers` |
 //! | items, results, positions | `jobs::Job` | `jobs::Jobs` |
@@ -73,7 +72,6 @@
 mod selection;
 pub mod slot;
 pub mod source;
-pub mod speed;
 pub mod store;
 mod timing;
 mod token;
--- a/src/serve/peers.rs
+++ b/src/serve/peers.rs
@@ -271,7 +271,6 @@
             self.send_state(address);
         }
         self.record_limited(&vm, incarnation, &load.limited);
-        self.record_speeds(&vm, &load.speeds);
         self.record_online_denied(&vm, load.online_denied);
         let mut states = self.states.borrow_mut();
         let (sequence, rows, serving) = (load.sequence, load.rows, load.serving);
--- a/src/serve/place.rs
+++ b/src/serve/place.rs
@@ -38,16 +38,6 @@
 /// other can run the request.
 const EJECTED_PENALTY_MS: f64 = 100_000.0;
 
-/// Part of the difference in the expected first event to that of the usual speed that counts.
-/// With all of it the fast upstreams fill first, and VMs that choose at once queue there.
-const SPEED_WEIGHT: f64 = 0.5;
-/// Random spread of the costs of upstreams of different speeds, in milliseconds. VMs know each
-/// other's requests 10 to 30 ms late; with 30 ms of spread they queued at the same upstreams,
-/// and with 150 ms still did so while slots were short (docs/design/speeds.md).
-const SPEED_SPREAD_MS: f64 = 300.0;
-/// Classes of speed per doubling; items choose by load among upstreams of one class.
-const SPEED_CLASSES: f64 = 3.0;
-
 /// Free slots that batch items leave, in standard deviations of the number of
 /// running online requests.
 const HEADROOM_DEVIATIONS: f64 = 0.6;
@@ -106,8 +96,7 @@
         .of_service(criteria.service)
         .filter(usable)
         .map(|(key, entry)| {
-            let timing_here = timing.at_speed(entry.speed);
-            let expected_ms = timing_here.first_event_ms + wait_ms(entry, timing_here);
+            let expected_ms = timing.first_event_ms + wait_ms(entry, timing);
             let free = entry.load().online < entry.registration.slots;
             let tie_break_ms = f64::from((criteria.tie_breaker as u32 ^ entry.number) % 64) / 32.0;
             let distance_ms = if &entry.registration.data_centre == criteria.data_centre {
@@ -133,30 +122,13 @@
                 + history_ms
                 + penalty_ms
                 + limit_ms
-                + ejected_ms
-                + speed_cost_ms(entry, timing, criteria.tie_breaker);
+                + ejected_ms;
             (Choice { key, expected_ms, free }, cost_ms)
         })
         .min_by(|(_, a), (_, b)| a.total_cmp(b))
         .map(|(choice, _)| choice)
 }
 
-/// Cost of an upstream by its speed, on top of the expected first event: the part of the
-/// difference to the usual that doesn't count, and a random spread.
-fn speed_cost_ms(entry: &Entry, timing: Timing, tie_breaker: u64) -> f64 {
-    if entry.speed == 1.0 {
-        return 0.0;
-    }
-    let usual_ms = timing.first_event_ms + wait_ms(entry, timing);
-    let here = timing.at_speed(entry.speed);
-    let here_ms = here.first_event_ms + wait_ms(entry, here);
-    let mut hasher = SipHasher13::new();
-    hasher.write_u64(tie_breaker);
-    hasher.write_u32(entry.number);
-    let uniform = hasher.finish() as f64 / u64::MAX as f64;
-    (usual_ms - here_ms) * (1.0 - SPEED_WEIGHT) + uniform * SPEED_SPREAD_MS
-}
-
 /// Earliest time at which an upstream that is at its limit may take an online request; none
 /// if no usable upstream is at its limit.
 pub fn opens_at(table: &Table, criteria: Criteria<'_>, now: Time) -> Option<Time> {
@@ -282,8 +254,6 @@
             let rank = (
                 tried,
                 entry.limit_per_s.is_none() == criteria.items_wait,
-                // Online requests choose fast upstreams, so items are preempted least at slow ones.
-                (entry.speed.log2() * SPEED_CLASSES).round() as i32,
                 entry.load().total(),
                 elsewhere,
                 criteria.tie_breaker as u32 ^ entry.number,
--- a/src/serve/relay.rs
+++ b/src/serve/relay.rs
@@ -54,8 +54,6 @@
     pause: Pause,
     record: Record,
     first_event: Option<Time>,
-    /// When it last began to wait for the upstream.
-    asked_at: Time,
     finished: bool,
 }
 
@@ -82,7 +80,6 @@
             pause: Pause::default(),
             record: record.take(),
             first_event: None,
-            asked_at: context.now(),
             finished: false,
         };
         relay.bound_answer();
@@ -114,7 +111,6 @@
                     continue;
                 }
             }
-            self.asked_at = self.context.now();
             let failure = match self.answer.body.next().await {
                 Ok(Some(chunk)) => {
                     self.decoder.push(&chunk);
@@ -236,17 +232,15 @@
     /// All complete events that have arrived; none if there are none yet.
     fn take_events(&mut self) -> Result<Option<Bytes>, event::Error> {
         let mut events = BytesMut::new();
-        let mut count = 0;
         while events.len() < SLICE_BYTES {
             match self.decoder.pop() {
                 // Not copied: it is the only event, and may be a large one.
                 Ok(Some(event)) if events.is_empty() && event.raw.len() >= SLICE_BYTES => {
-                    self.record_events(1);
+                    self.record_events();
                     return Ok(Some(event.raw));
                 }
                 Ok(Some(event)) => {
                     events.extend_from_slice(&event.raw);
-                    count += 1;
                 }
                 Ok(None) => break,
                 // Events before the error are valid and are forwarded first.
@@ -257,12 +251,12 @@
         if events.is_empty() {
             return Ok(None);
         }
-        self.record_events(count);
+        self.record_events();
         Ok(Some(events.freeze()))
     }
 
-    /// Records that `count` complete events arrived.
-    fn record_events(&mut self, count: usize) {
+    /// Records that complete events arrived.
+    fn record_events(&mut self) {
         self.answer.body.record_progress();
         self.turn = None;
         if self.first_event.is_none() {
@@ -270,12 +264,10 @@
             let first_ms = self.admitted.started_at.until(now).as_secs_f64() * 1e3;
             self.first_event = Some(now);
             self.record.first_event_ms = Some(first_ms as u64);
-            self.slot.record_stream_begun(self.slot.held_ms());
             self.slot.record_first_event();
             self.record_origin(now);
             metrics::histogram!("serve_first_event_seconds").record(first_ms / 1e3);
         }
-        self.slot.record_events(count, self.asked_at);
     }
 
     /// Binds the stream to the service and version that sent its first event.
--- a/src/serve/report.rs
+++ b/src/serve/report.rs
@@ -54,7 +54,6 @@
 
     /// Sends one load report; its size in bytes.
     pub fn send_load(&self) -> usize {
-        self.context().update_speeds();
         let now = self.context().now();
         let mut table = self.context().table.borrow_mut();
         let leaving = table.take_told_leaving(MAX_NEWS, now);
@@ -66,7 +65,6 @@
             limited: limited.into_iter().map(|row| Limited::new(row, now)).collect(),
             cold: cold.into_iter().map(|(number, word)| Cold::new(number, word, now)).collect(),
             ended: self.context().ended.borrow_mut().take_due(MAX_NEWS, now),
-            speeds: self.speeds(),
             ..self.own_load()
         };
         self.broadcast(Content::Load(load))
--- a/src/serve/slot.rs
+++ b/src/serve/slot.rs
@@ -11,7 +11,6 @@
 use super::limit::{Admission, Word};
 use super::origin::Origin;
 use super::protocol::{Classification, Limit};
-use super::speed::Pace;
 use super::upstream::{Key, Use};
 use crate::clock::Time;
 use crate::emit;
@@ -49,8 +48,6 @@
     pub(super) answered: Cell<bool>,
     /// Whether other VMs are told of it: at once, or when its request is granted.
     pub(super) announced: Cell<bool>,
-    /// Pauses between its events.
-    pub(super) pace: Cell<Pace>,
     pub(super) context: Rc<Context>,
 }
 
@@ -237,9 +234,7 @@
         let mut table = self.context.table.borrow_mut();
         table.record_first_event(self.key, took_ms);
         if self.free {
-            // The service's average is of what an upstream of the usual speed would take.
-            let speed = table.get(self.key).map_or(1.0, |entry| entry.speed);
-            table.record_idle_first_event(self.key, took_ms * speed);
+            table.record_idle_first_event(self.key, took_ms);
         }
         self.answered.set(true);
     }
@@ -254,8 +249,7 @@
         let held_ms = self.held_ms();
         let mut table = self.context.table.borrow_mut();
         if self.kind == Use::Online && self.answered.get() {
-            let speed = table.get(self.key).map_or(1.0, |entry| entry.speed);
-            table.record_slot_time(self.key, held_ms * speed);
+            table.record_slot_time(self.key, held_ms);
         }
         if let Some(entry) = table.get_mut(self.key) {
             match self.kind {
--- a/src/serve/timing.rs
+++ b/src/serve/timing.rs
@@ -25,12 +25,6 @@
     pub const INITIAL: Self =
         Self { first_event_ms: 50.0, slot_ms: 720.0, event_ms: 0.0, event_tokens: f64::INFINITY };
 
-    /// The same at an upstream of this speed.
-    pub fn at_speed(self, speed: f64) -> Self {
-        let (first_event_ms, slot_ms) = (self.first_event_ms / speed, self.slot_ms / speed);
-        Self { first_event_ms, slot_ms, ..self }
-    }
-
     /// Records a first event that came this many milliseconds after its request had taken a
     /// free slot.
     pub fn record_idle_first_event(&mut self, sample_ms: f64) {
--- a/src/serve/upstream.rs
+++ b/src/serve/upstream.rs
@@ -104,8 +104,6 @@
     pub closed_to_items_until: Time,
     /// Moving average of the time to the first event, in milliseconds.
     pub first_event_ms: f64,
-    /// Speed relative to the usual one, as `speed` measured it; 1: usual or not known.
-    pub speed: f64,
     failures: u32,
     missing_since: Option<Time>,
 }
@@ -127,7 +125,6 @@
             closed_until: Time(0),
             closed_to_items_until: Time(0),
             first_event_ms: 0.0,
-            speed: 1.0,
             failures: 0,
             missing_since: None,
         }
@@ -238,7 +235,6 @@
                 entry.ejected_until = Time(0);
                 entry.failures = 0;
                 entry.first_event_ms = 0.0;
-                entry.speed = 1.0;
             }
             return false;
         }
--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -15,6 +15,6 @@
 pub use file::{Check, load, parse};
 pub use log::{Format, Level, Log};
 pub use platform::Platform;
-pub use serve::{Bounds, Placing, Rates, Serve};
+pub use serve::{Bounds, Rates, Serve};
 pub use standby::Standby;
 pub use store::Store;
--- a/src/settings/serve.rs
+++ b/src/settings/serve.rs
@@ -38,9 +38,6 @@
     /// Rate limits of organisations.
     #[serde(default)]
     pub rates: Rates,
-    /// Selection of upstreams.
-    #[serde(default)]
-    pub placing: Placing,
     /// Log settings.
     #[serde(default)]
     pub log: Log,
@@ -89,14 +86,6 @@
     pub hand_over: bool,
 }
 
-/// Switches of the selection of upstreams.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
-#[serde(deny_unknown_fields, default)]
-pub struct Placing {
-    /// Whether the speed of each upstream is measured and shared.
-    pub speeds: bool,
-}
-
 /// Safety margin of `Bounds::max_key_age`.
 const KEY_AGE_MARGIN: Duration = Duration::from_millis(250);
 /// Maximum interval between reads of the key-value service.
