Hold the hand-over of rates off beside older versions

Change: a VM's entry tells that it hands over. While any member's doesn't, a VM that stops lets go of its buckets before it is marked, and the reserve isn't used, since older versions divide it otherwise.

--- a/src/serve/node.rs
+++ b/src/serve/node.rs
@@ -169,7 +169,8 @@
         emit!(self.context.log, Event::Stopping, "active" => self.frontend.active.get(),
             "left_ms" => started.until(end).as_millis() as u64);
         self.context.stopping.set(true);
-        let hands_over = self.context.limiter.borrow().hands_over();
+        // VMs of older versions take a VM that is marked as leaving to grant no more.
+        let hands_over = self.context.limiter.borrow().is_uniform();
         if !hands_over {
             self.context.limiter.borrow_mut().resign();
         }
--- a/src/serve/rate/mod.rs
+++ b/src/serve/rate/mod.rs
@@ -191,6 +191,9 @@
     reserves: Reserves,
     /// Whether buckets are handed over.
     hands_over: bool,
+    /// Whether all members said so in the last list: VMs of older versions may share neither
+    /// the rules of a planned stop nor the division of the reserve.
+    is_uniform: bool,
     /// Buckets that this VM let go of recently.
     releases: HashMap<Organisation, Release>,
     /// Buckets that this VM has requested, each with its latest request.
@@ -218,6 +221,7 @@
             local_buckets: HashMap::new(),
             reserves: Reserves::default(),
             hands_over,
+            is_uniform: false,
             releases: HashMap::new(),
             requests: HashMap::new(),
             ownerships: HashMap::new(),
@@ -252,6 +256,10 @@
         let holder_kept = !first && (!holder_expired || was_listed || list == self.list);
         let has_credit = first && predecessor == Predecessor::CrashedLongAgo;
         let takes_over = first && predecessor == Predecessor::Crashed || has_credit;
+        let shares_rules = |listed: &Listed| {
+            listed.member.vm == self.vm || listed.member.rates.is_some_and(|rates| rates.hands_over)
+        };
+        self.is_uniform = self.hands_over && members.iter().all(shares_rules);
         if !local_kept {
             let others_count_us = first && predecessor != Predecessor::None;
             self.local_from = if others_count_us { now } else { now.after(LOCAL_SHARE_MAX_AGE) };
--- a/src/serve/rate/transfer.rs
+++ b/src/serve/rate/transfer.rs
@@ -134,6 +134,11 @@
         self.hands_over
     }
 
+    /// Whether all members of the fleet hand buckets over, by the last list.
+    pub fn is_uniform(&self) -> bool {
+        self.is_uniform
+    }
+
     /// Records that this VM requests a bucket; the answer repeats `nonce`.
     pub fn record_request(&mut self, organisation: &Organisation, nonce: u64, now: Time) {
         let request = Request { nonce, until: now.after(REQUEST_LIFETIME) };
--- a/src/serve/token.rs
+++ b/src/serve/token.rs
@@ -79,11 +79,17 @@
             rate::Grant::Short(wait) => return (self.take_short(tenant, wait).await, "short"),
             grant => return (grant, "next holder"),
         }
+        if !context.limiter.borrow().is_uniform() {
+            return (rate::Grant::Exceeded(NO_HOLDER_RETRY), "no reserve beside older versions");
+        }
         (self.take_from_deputies(tenant).await, "deputy")
     }
 
     /// Takes a token from the reserve, as the holder's bucket is empty for `wait`.
     async fn take_short(&self, tenant: &Tenant, wait: Duration) -> rate::Grant {
+        if !self.context().limiter.borrow().is_uniform() {
+            return rate::Grant::Exceeded(wait);
+        }
         match self.take_from_deputies(tenant).await {
             rate::Grant::Granted => rate::Grant::Granted,
             _ => rate::Grant::Exceeded(wait),
--- a/tests/rate_load/mod.rs
+++ b/tests/rate_load/mod.rs
@@ -7,7 +7,7 @@
 use parsleybeam::clock::Time;
 use parsleybeam::id::{Organisation, Vm};
 use parsleybeam::serve::configuration::Tenant;
-use parsleybeam::serve::member::{Listed, Member, owner, ranked};
+use parsleybeam::serve::member::{Listed, Member, Rates, owner, ranked};
 use parsleybeam::serve::rate::{
     Bucket, CREDIT_INTERVAL, Grant, Limiter, NO_REQUEST, Offer, Predecessor, Tolerance,
 };
@@ -73,11 +73,23 @@
     /// Probability with which a message about a bucket is lost.
     pub loss: f64,
     pub uses_deputies: bool,
+    /// Number of the first VMs that run an older version, which hands nothing over.
+    pub older: usize,
     /// Whether deputies are asked if the holder's bucket is empty below the limit.
     pub asks_if_short: bool,
 }
 
 impl Simulation {
+    /// The same, where the first `older` VMs run an older version.
+    pub fn with_older(seed: u64, count: usize, tenant: Tenant, older: usize) -> Self {
+        let mut simulation = Self::with_hand_over(seed, count, tenant, 0.1);
+        simulation.older = older;
+        for index in 0..count {
+            simulation.processes[index].limiter = simulation.limiter(index);
+        }
+        simulation
+    }
+
     /// A fleet whose holders hand their buckets over.
     pub fn with_hand_over(seed: u64, count: usize, tenant: Tenant, loss: f64) -> Self {
         let mut simulation = Self::new(seed, count, tenant);
@@ -90,7 +102,8 @@
     }
 
     pub fn limiter(&self, index: usize) -> Limiter {
-        Limiter::new(Vm::from(format!("vm-{index}")), TOLERANCE, self.hands_over)
+        let hands_over = self.hands_over && index >= self.older;
+        Limiter::new(Vm::from(format!("vm-{index}")), TOLERANCE, hands_over)
     }
 
     pub fn new(seed: u64, count: usize, tenant: Tenant) -> Self {
@@ -118,6 +131,7 @@
             hands_over: false,
             loss: 0.0,
             uses_deputies: true,
+            older: 0,
             asks_if_short: true,
         }
     }
@@ -161,6 +175,10 @@
             listed.member.leaving = true;
             listed.version = self.version;
         }
+        let limiter = &mut self.processes[index].limiter;
+        if self.hands_over && !limiter.is_uniform() {
+            limiter.resign();
+        }
         self.processes[index].stops_at = self.now.after(DRAIN);
         self.processes[index].next_poll = Time::NEVER;
     }
@@ -206,8 +224,10 @@
                 None => break,
             }
         }
+        let is_uniform = self.processes[index].limiter.is_uniform();
         for deputy in deputies {
             if self.uses_deputies
+                && is_uniform
                 && self.is_up(*deputy)
                 && self.processes[*deputy].limiter.take_deputy(&tenant, now) == Grant::Granted
             {
@@ -246,6 +266,7 @@
             process.predecessor = match listed {
                 true if leaving => Predecessor::Left,
                 true if self.hands_over
+                    && self.older == 0
                     && process.credited_at.after(CREDIT_INTERVAL).passed(now) =>
                 {
                     process.credited_at = now;
@@ -264,7 +285,9 @@
         }
         if !listed {
             self.version += 1;
-            let member = member(index, self.version);
+            let rates = Rates { hands_over: true, credited_unix_ms: 0 };
+            let rates = (self.hands_over && index >= self.older).then_some(rates);
+            let member = Member { rates, ..member(index, self.version) };
             self.members.push(Listed { member, version: self.version });
         }
         process.list = self.members.clone();
@@ -284,7 +307,7 @@
         if process.limiter.take_local(&tenant, now) == Grant::Granted {
             return self.granted.push(now);
         }
-        if self.hands_over {
+        if self.hands_over && index >= self.older {
             match self.take_from_others(index) {
                 Grant::Granted => self.granted.push(now),
                 Grant::Exceeded(_) | Grant::Short(_) | Grant::NotHolder => self.refused += 1,
--- a/tests/serve_rate.rs
+++ b/tests/serve_rate.rs
@@ -8,7 +8,7 @@
 
 use parsleybeam::clock::Time;
 use parsleybeam::id::Vm;
-use parsleybeam::serve::member::{Listed, owner};
+use parsleybeam::serve::member::{Listed, owner, ranked};
 use parsleybeam::serve::rate::{Grant, Limiter, NO_REQUEST, Offer, Predecessor};
 use rand::Rng;
 use rate_load::{
@@ -301,3 +301,46 @@
     let (with, without) = (mean(&shares), mean(&shares_without));
     assert!(with <= without - 0.5 * kept / limit, "{with:.3}, without the reserve {without:.3}");
 }
+
+/// Guards against an upgrade during which VMs of two versions grant from one bucket: the older
+/// one takes a VM that is marked as leaving to grant no more, and keeps a reserve of its own.
+#[test]
+fn take_overload_with_faults_beside_older_versions() {
+    for seed in 0..50 {
+        let (vms, older) = [(7, 1), (7, 3), (7, 6), (30, 15)][seed as usize % 4];
+        let tenant = tenant([5.0, 40.0][seed as usize % 2], 10.0);
+        check_overload_with_faults(Simulation::with_older(seed, vms, tenant, older), seed);
+    }
+}
+
+/// Guards against a VM that still grants while it stops, when its heir is of an older version,
+/// which grants as soon as it reads that the VM leaves.
+#[test]
+fn take_while_the_holder_stops_beside_older_versions() {
+    let mut played = 0;
+    for seed in 0..20 {
+        let count = 4 + seed as usize;
+        let members: Vec<Listed> =
+            (0..count).map(|index| Listed { member: member(index, 1), version: 1 }).collect();
+        let ranked = ranked(&members, "large", 2);
+        let (holder, heir) = (index_of(&ranked[0].vm), index_of(&ranked[1].vm));
+        // Those before the holder are older.
+        if heir > holder {
+            continue;
+        }
+        let mut simulation = Simulation::with_older(seed, count, tenant(100.0, 10.0), holder);
+        (0..1_000).for_each(|_| simulation.step());
+        played += 1;
+        for step in 0..1_000 {
+            if step == 300 {
+                simulation.stop(holder);
+            }
+            simulation.step();
+            (0..2).for_each(|_| simulation.request(holder));
+            (0..count).for_each(|index| simulation.request(index));
+        }
+        let (peak, limit) = (simulation.max_in_window() as f64, simulation.limit());
+        assert!(peak <= limit, "seed {seed}: {peak} granted in a window, limit {limit}");
+    }
+    assert!(played > 0, "the heir is older in some fleet");
+}
