Log what a VM knew of an upstream when it sent to it

Cause: the lines of requests hold the age of the view at their end, not at their sends; no line says that an entry turned to draining or that a missing upstream is kept.

Change: 520 and 521, with the ages of the view and of the one before; both on 507 as well; view_ages_ms in 501 and 504, a histogram of the same for requests and items. No decision changes.

--- a/src/serve/jobs/run.rs
+++ b/src/serve/jobs/run.rs
@@ -144,6 +144,7 @@
         if !self.slot.admit().await {
             return End::AtLimit;
         }
+        self.slot.record_sent();
         let due = reading::item_head(self.context.now());
         let answer = match self.context.pool.send(self.slot.address, self.request(), due).await {
             Ok(answer) => answer,
--- a/src/serve/poller.rs
+++ b/src/serve/poller.rs
@@ -188,13 +188,22 @@
         let last = self.context.view.borrow().confirmed_at;
         let outage = last != Time(0) && last.after(OUTAGE).passed(sent_at);
         self.context.versions.borrow_mut().observe(&snapshot.upstreams, sent_at);
-        let (added, removed) =
-            self.context.table.borrow_mut().replace(&snapshot.upstreams, outage, now);
-        for upstream in added {
+        let change = self.context.table.borrow_mut().replace(&snapshot.upstreams, outage, now);
+        let age_ms = sent_at.age_millis(now);
+        for upstream in change.added {
             emit!(self.context.log, Event::UpstreamAdded, "upstream" => upstream.as_str());
         }
-        for upstream in removed {
-            emit!(self.context.log, Event::UpstreamRemoved, "upstream" => upstream.as_str());
+        for upstream in change.draining {
+            emit!(self.context.log, Event::UpstreamDraining, "upstream" => upstream.as_str(),
+                "view_age_ms" => age_ms, "view_age_before_ms" => last.age_millis(now));
+        }
+        for upstream in change.kept {
+            emit!(self.context.log, Event::UpstreamKept, "upstream" => upstream.as_str(),
+                "view_age_ms" => age_ms, "view_age_before_ms" => last.age_millis(now));
+        }
+        for upstream in change.removed {
+            emit!(self.context.log, Event::UpstreamRemoved, "upstream" => upstream.as_str(),
+                "view_age_ms" => age_ms, "view_age_before_ms" => last.age_millis(now));
         }
     }
 
--- a/src/serve/record.rs
+++ b/src/serve/record.rs
@@ -31,6 +31,8 @@
     pub attempts: Vec<String>,
     /// Software versions of these upstreams.
     pub versions: Vec<String>,
+    /// Age of the view of the store at each of these sends, in milliseconds.
+    pub view_ages_ms: Vec<String>,
     /// Addresses of the VMs that its connections went through.
     pub through: Vec<String>,
     /// Names of the upstreams whose limits left no room for it when it was to be sent.
@@ -63,6 +65,7 @@
             through: Vec::new(),
             at_limit: Vec::new(),
             versions: Vec::new(),
+            view_ages_ms: Vec::new(),
             resumes: String::new(),
             expected_ms: 0.0,
             first_event_ms: None,
@@ -80,6 +83,7 @@
     pub fn record_attempt(&mut self, slot: &Slot) {
         self.attempts.push(slot.upstream.to_string());
         self.versions.push(slot.origin.version.to_string());
+        self.view_ages_ms.push(slot.record_sent().as_millis().to_string());
     }
 
     /// Records that the request resumes the stream of the caller's attempt `resumes`.
@@ -123,6 +127,7 @@
             "organisation" => self.organisation.as_str(), "token" => self.token,
             "configuration" => self.version, "store_age_ms" => store_age.as_millis() as u64,
             "attempts" => self.attempts.join(","), "versions" => self.versions.join(","),
+            "view_ages_ms" => self.view_ages_ms.join(","),
             "through" => self.through.join(","),
             "at_limit" => self.at_limit.join(","),
             "resumes" => self.resumes.as_str(), "expected_ms" => self.expected_ms as u64,
--- a/src/serve/slot.rs
+++ b/src/serve/slot.rs
@@ -186,6 +186,14 @@
         false
     }
 
+    /// Records that the request is sent; the age of the view of the store by which it is.
+    pub fn record_sent(&self) -> Duration {
+        let age = self.context.view.borrow().confirmed_at.until(self.context.now());
+        metrics::histogram!("serve_send_view_age_seconds", "use" => self.kind.as_str())
+            .record(age.as_secs_f64());
+        age
+    }
+
     async fn admit_limited(&self) -> bool {
         let limit = self.context.table.borrow().limits().per_s(self.process());
         let gate = if limit.is_some() { self.context.gate() } else { None };
--- a/src/serve/upstream.rs
+++ b/src/serve/upstream.rs
@@ -105,7 +105,8 @@
     /// Moving average of the time to the first event, in milliseconds.
     pub first_event_ms: f64,
     failures: u32,
-    missing_since: Option<Time>,
+    /// Whether its entry is missing and it is kept for a while.
+    is_missing: bool,
 }
 
 impl Entry {
@@ -126,7 +127,7 @@
             closed_to_items_until: Time(0),
             first_event_ms: 0.0,
             failures: 0,
-            missing_since: None,
+            is_missing: false,
         }
     }
 
@@ -175,6 +176,19 @@
     hasher.finish() as u32
 }
 
+/// What a new list of registrations changed.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Change {
+    /// Upstreams that were added.
+    pub added: Vec<Upstream>,
+    /// Upstreams that were removed.
+    pub removed: Vec<Upstream>,
+    /// Upstreams whose entries say for the first time that they shut down.
+    pub draining: Vec<Upstream>,
+    /// Upstreams that are missing for the first time and kept for a while.
+    pub kept: Vec<Upstream>,
+}
+
 /// All known upstreams.
 #[derive(Default)]
 pub struct Table {
@@ -189,20 +203,19 @@
 
 impl Table {
     /// Applies a new list of registrations; `outage` states that the store could not
-    /// be read for a while before. Returns the upstreams that were added and removed.
-    pub fn replace(
-        &mut self,
-        registrations: &[Registration],
-        outage: bool,
-        now: Time,
-    ) -> (Vec<Upstream>, Vec<Upstream>) {
+    /// be read for a while before.
+    pub fn replace(&mut self, registrations: &[Registration], outage: bool, now: Time) -> Change {
         if outage {
             self.grace_until = now.after(OUTAGE_GRACE);
         }
-        let mut added = Vec::new();
+        let mut change = Change::default();
         for registration in registrations {
+            let was_draining = self.is_draining(&registration.upstream);
             if self.upsert(registration) {
-                added.push(registration.upstream.clone());
+                change.added.push(registration.upstream.clone());
+            }
+            if registration.draining && !was_draining {
+                change.draining.push(registration.upstream.clone());
             }
         }
         let listed: std::collections::HashSet<&Upstream> =
@@ -211,16 +224,22 @@
         let mut removed = Vec::new();
         for (key, entry) in &mut self.entries {
             if listed.contains(&entry.registration.upstream) {
-                entry.missing_since = None;
+                entry.is_missing = false;
                 continue;
             }
-            entry.missing_since.get_or_insert(now);
             if !in_grace {
                 removed.push(key);
+            } else if !std::mem::replace(&mut entry.is_missing, true) {
+                change.kept.push(entry.registration.upstream.clone());
             }
         }
-        let removed = removed.into_iter().filter_map(|key| self.remove(key)).collect();
-        (added, removed)
+        change.removed = removed.into_iter().filter_map(|key| self.remove(key)).collect();
+        change
+    }
+
+    fn is_draining(&self, upstream: &Upstream) -> bool {
+        let entry = self.by_name.get(upstream).and_then(|key| self.entries.get(*key));
+        entry.is_some_and(|entry| entry.registration.draining)
     }
 
     fn upsert(&mut self, registration: &Registration) -> bool {
