Send nothing by a view of the store that is older than the bounds

Cause: no decision asked how old the view was that it rested on. The class: what a VM believes is acted on without its age.

Evidence: draining_upstream_gets_nothing_by_a_view_older_than_the_bound takes the processor from a VM for 2.6 s while its upstreams leave.

Change: serve/freshness holds the time at which the view was current and the last own read that failed. A send has a stored deadline: the view's time and the shortest bound, or the failed read's time and contact_ms, since a VM whose reads fail isn't in contact for so long. The deadline is checked by the pool when the connection is open, so nothing on the way there needs to be added up. What may not be sent asks for a read at once and waits for it, 150 ms at most. Right before a send the upstream's entry is looked at again, as a grant may have taken a while. Evacuations use the same rule in place of their own. Own reads that fail repeat after 2.3 s instead of 3 s at most, so that a VM serves through an outage.

--- a/programs/tests/command.rs
+++ b/programs/tests/command.rs
@@ -58,6 +58,7 @@
     "relay": "127.0.0.1:0", "key_value": "127.0.0.1:1", "weight": 0.25,
     "bounds": {
         "configuration_ms": 2000, "withdrawal_ms": 5000, "leaving_upstream_ms": 2000,
+        "contact_ms": 3000,
         "stop_s": 8, "addresses_lifetime_s": 5, "rate_window_s": 5,
         "rate_overrun": 0.1, "rate_slack": 20, "results_s": 120
     }
--- a/src/serve/channel.rs
+++ b/src/serve/channel.rs
@@ -185,6 +185,7 @@
                 Err(CallError::Unknown(format!("the service answered {}", status.as_u16())))
             }
             Ok(reply) => Ok(reply),
+            Err(failure @ Failure::Late) => Err(CallError::NoEffect(failure.to_string())),
             Err(Failure::NotSent(reason)) => Err(CallError::NoEffect(reason)),
             Err(Failure::Sent(reason)) => Err(CallError::Unknown(reason)),
             Err(Failure::Unbounded(passed)) => {
--- a/src/serve/context.rs
+++ b/src/serve/context.rs
@@ -14,6 +14,7 @@
 use super::configuration::Configuration;
 use super::crash::Crashes;
 use super::evacuation::Evacuations;
+use super::freshness::Freshness;
 use super::held::Held;
 use super::jobs::{Ended, Pending};
 use super::limit::Gate;
@@ -25,6 +26,7 @@
 use super::priority::Priority;
 use super::protocol::{Part, Protocol};
 use super::rate::{Limiter, Tolerance};
+use super::renewal::Renewal;
 use super::slot::Slot;
 use super::store::Store;
 use super::upstream::{Key, Table, Use};
@@ -74,6 +76,10 @@
     pub evacuations: RefCell<Evacuations>,
     /// Shared state, as last read from the store.
     pub view: RefCell<View>,
+    /// Age of the view, and the outcome of this VM's reads.
+    pub freshness: RefCell<Freshness>,
+    /// Requests that wait for a current view.
+    pub renewal: Renewal,
     /// Rate limiter.
     pub limiter: RefCell<Limiter>,
     /// Whether a graceful shutdown has begun.
@@ -146,6 +152,8 @@
             cold: RefCell::default(),
             evacuations: RefCell::default(),
             view: RefCell::default(),
+            freshness: RefCell::default(),
+            renewal: Renewal::default(),
             limiter: RefCell::new(limiter),
             stopping: Cell::new(false),
             items_waiting: Cell::new(false),
--- a/src/serve/evacuation.rs
+++ b/src/serve/evacuation.rs
@@ -5,8 +5,8 @@
 //! known sooner than by polling alone. Without reads, during an outage of the store,
 //! evacuations stay as they are.
 //!
-//! A VM that was suspended may hold a view from before an evacuation. It sends nothing
-//! until a read has succeeded or failed after its return.
+//! A VM that was suspended may hold a view from before an evacuation; `freshness` keeps it from
+//! sending.
 
 use std::collections::HashMap;
 use std::time::Duration;
@@ -14,10 +14,6 @@
 use crate::clock::Time;
 use crate::id::DataCentre;
 
-/// Part of the bound, as a divisor, that is left for a send to reach its upstream: 500 ms of
-/// 5 s. The longest connect timeout of a send is 400 ms.
-const SEND_MARGIN_DIVISOR: u32 = 10;
-
 /// Time by which a peer's word is taken for older when it is passed on. The time that a
 /// datagram took isn't in its age, so words that are passed on and on would stay new.
 const RELAY_MARGIN: Duration = Duration::from_millis(500);
@@ -46,8 +42,6 @@
     held: HashMap<DataCentre, Held>,
     /// Time at which the last own read was current.
     read_at: Time,
-    /// When a read last failed.
-    failed_at: Time,
 }
 
 impl Evacuations {
@@ -71,11 +65,6 @@
         change
     }
 
-    /// Records that a read failed.
-    pub fn record_failed_read(&mut self, now: Time) {
-        self.failed_at = now;
-    }
-
     /// Records that, by a peer's word, the store held an evacuation at `at`; whether this
     /// begins it here.
     pub fn record_hint(&mut self, data_centre: &DataCentre, at: Time) -> bool {
@@ -103,11 +92,4 @@
             (data_centre, held.at.before_millis(margin.as_millis() as u32))
         })
     }
-
-    /// Whether this VM may not know an evacuation that is older than `bound`, although the
-    /// store may be reachable: it has not tried to read for so long.
-    pub fn may_lag(&self, bound: Duration, now: Time) -> bool {
-        let tried_at = self.read_at.max(self.failed_at);
-        tried_at.after(bound - bound / SEND_MARGIN_DIVISOR).passed(now)
-    }
 }
--- a/src/serve/exchange.rs
+++ b/src/serve/exchange.rs
@@ -286,17 +286,21 @@
             check_latency(context, admitted, &choice)?;
         }
         let Some(slot) = context.take_slot(choice.key, Use::Online) else { continue };
-        if !slot.admit().await {
+        let Some(send_by) = slot.admit().await else {
             record.at_limit.push(slot.upstream.to_string());
             continue;
-        }
+        };
         record.record_attempt(&slot);
         record.expected_ms = choice.expected_ms;
         let (upstream, request) =
             (slot.upstream.clone(), request(context, admitted, &slot, resume));
-        let due = reading::head(context, admitted, history);
+        let due = reading::head(context, admitted, history, send_by);
         let answer = match context.pool.send(slot.address, request, due).await {
             Ok(answer) => answer,
+            Err(Failure::Late) => {
+                slot.record_late();
+                continue;
+            }
             Err(Failure::NotSent(reason)) => {
                 slot.record_failure(&reason);
                 slot.record_gone();
--- a/src/serve/jobs/run.rs
+++ b/src/serve/jobs/run.rs
@@ -141,13 +141,15 @@
 
 impl Attempt<'_> {
     async fn run(&mut self) -> End {
-        if !self.slot.admit().await {
-            return End::AtLimit;
-        }
+        let Some(send_by) = self.slot.admit().await else { return End::AtLimit };
         self.slot.record_sent();
-        let due = reading::item_head(self.context.now());
+        let due = reading::item_head(send_by, self.context.now());
         let answer = match self.context.pool.send(self.slot.address, self.request(), due).await {
             Ok(answer) => answer,
+            Err(Failure::Late) => {
+                self.slot.record_late();
+                return End::AtLimit;
+            }
             Err(failure @ Failure::NotSent(_)) => {
                 self.slot.record_failure(&failure.to_string());
                 self.slot.record_gone();
--- a/src/serve/mod.rs
+++ b/src/serve/mod.rs
@@ -15,6 +15,7 @@
 //! | limits that upstreams name | `limit`, `priority` | `gate` |
 //! | quotas of cold upstreams | `cold` | `quota` |
 //! | evacuations of data centres | `evacuation` | `hint` |
+//! | age of the view that a send is decided by | `freshness` | `renewal`, `slot` |
 //! | ways to upstreams | `path::Links` | `path` |
 //! | order and resumption of streams | `event`, `origin` | `relay`, `peers` |
 //! | items, results, positions | `jobs::Job` | `jobs::Jobs` |
@@ -37,6 +38,7 @@
 pub mod evacuation;
 pub mod event;
 pub mod exchange;
+pub mod freshness;
 pub mod frontend;
 mod gate;
 mod gauge;
@@ -65,6 +67,7 @@
 pub mod record;
 mod refusal;
 pub mod relay;
+mod renewal;
 pub mod repeat;
 mod report;
 pub mod reserve;
--- a/src/serve/poller.rs
+++ b/src/serve/poller.rs
@@ -85,11 +85,11 @@
                     pause = RETRY;
                     let poll = self.context.settings().bounds.poll_interval();
                     let next_at = self.reader.next_at(sent_at, poll);
-                    tokio::time::sleep(self.context.now().until(next_at)).await;
+                    self.sleep(self.context.now().until(next_at)).await;
                 }
                 Err(error) => {
                     self.record_failed_read(&error.detail);
-                    tokio::time::sleep(self.reader.pause_after_failure(pause)).await;
+                    self.sleep(self.reader.pause_after_failure(pause)).await;
                     pause = (pause * 2).min(MAX_RETRY);
                 }
             }
@@ -99,9 +99,14 @@
         }
     }
 
+    /// Sleeps for `span`, or until a request waits for a current view.
+    async fn sleep(&self, span: Duration) {
+        // Either way the next step is a read.
+        let _ = tokio::time::timeout(span, self.context.renewal.wanted()).await;
+    }
+
     fn record_failed_read(&self, reason: &str) {
         self.context.opening.decide();
-        self.context.evacuations.borrow_mut().record_failed_read(self.context.now());
         let mut state = self.state.borrow_mut();
         state.answered_since = None;
         if !std::mem::replace(&mut state.unreachable, true) {
@@ -266,6 +271,8 @@
         view.pending = pending;
         view.confirmed_at = view.confirmed_at.max(sent_at);
         drop(view);
+        self.context.freshness.borrow_mut().record_view(sent_at);
+        self.context.renewal.record_renewed();
         if state.registered {
             self.update_limiter(state.predecessor, sent_at, now);
         }
--- a/src/serve/reader.rs
+++ b/src/serve/reader.rs
@@ -21,6 +21,7 @@
 use prost::Message;
 
 use super::context::Context;
+use super::freshness::WATCH_INTERVAL;
 use super::jobs::{ItemResult, Jobs, Pending};
 use super::member::Member;
 use super::source::{FOLLOWER_MAX_AGE, Order, Plan, Role};
@@ -225,12 +226,15 @@
 
     async fn read_store(&self, role: Role, way: Way) -> Result<Fetched> {
         let sent_at = self.context.now();
-        match self.context.store.entries(way).await {
+        self.context.freshness.borrow_mut().record_sent(sent_at);
+        match self.watch(self.context.store.entries(way)).await {
             Ok(entries) => {
+                self.context.freshness.borrow_mut().record_answered();
                 self.update_plan(Plan::answered);
                 Ok((entries.into_iter().map(Entry::from).collect(), sent_at))
             }
             Err(error) => {
+                self.context.freshness.borrow_mut().record_failed(self.context.now());
                 let seed = self.context.random();
                 self.update_plan(|plan| plan.failed(role, seed, sent_at));
                 Err(error)
@@ -238,6 +242,20 @@
         }
     }
 
+    /// Waits for a read of the store, and records that it goes on without an answer.
+    async fn watch<F>(&self, read: F) -> F::Output
+    where
+        F: Future,
+    {
+        let mut read = std::pin::pin!(read);
+        loop {
+            match tokio::time::timeout(WATCH_INTERVAL, read.as_mut()).await {
+                Ok(outcome) => return outcome,
+                Err(_) => self.context.freshness.borrow_mut().record_waiting(self.context.now()),
+            }
+        }
+    }
+
     /// Keeps a snapshot for peers and decodes it.
     fn accept(&self, (entries, current_at): Fetched) -> (Snapshot, Time) {
         let cached = CachedSnapshot { age_ms: 0, entries };
--- a/src/serve/reading.rs
+++ b/src/serve/reading.rs
@@ -50,14 +50,15 @@
 /// Maximum time that one attempt at an item may take; the deadline that its upstream is told.
 pub(super) const ITEM_DEADLINE: Duration = Duration::from_millis(30_000);
 
-/// When the head of an online attempt's answer is due.
-pub(super) fn head(context: &Context, admitted: &Admitted, history: &History) -> Due {
+/// When the head of an online attempt's answer is due, if it is sent until `send`.
+pub(super) fn head(context: &Context, admitted: &Admitted, history: &History, send: Time) -> Due {
     let next = History { runs: history.runs + 1, tried: Vec::new() };
     let now = context.now();
     if !next.may_send(&admitted.route) {
-        return Due::by(admitted.deadline, CONNECT_TIMEOUT);
+        return Due { send, ..Due::by(admitted.deadline, CONNECT_TIMEOUT) };
     }
     Due {
+        send,
         connect: CONNECT_TIMEOUT,
         head: now.after(HEAD_TIMEOUT).min(admitted.deadline),
         begun: begun(admitted),
@@ -98,9 +99,9 @@
     }
 }
 
-/// When the head of an item's answer is due.
-pub(super) fn item_head(now: Time) -> Due {
-    Due::by(now.after(ITEM_TIMEOUT), ITEM_CONNECT_TIMEOUT)
+/// When the head of an item's answer is due, if it is sent until `send`.
+pub(super) fn item_head(send: Time, now: Time) -> Due {
+    Due { send, ..Due::by(now.after(ITEM_TIMEOUT), ITEM_CONNECT_TIMEOUT) }
 }
 
 /// Bounds of an item's stream of events.
--- a/src/serve/slot.rs
+++ b/src/serve/slot.rs
@@ -120,12 +120,15 @@
         context.work_changed.notify_one();
     }
 
-    /// Whether the request that holds the slot may be sent now: the limit that the upstream
-    /// has named leaves room for it among the requests of all VMs, and no evacuation forbids
-    /// it, which may have begun while it waited.
-    pub async fn admit(&self) -> bool {
+    /// Until when the request that holds the slot may be sent; none if it may not be: its
+    /// upstream's limit leaves no room among the requests of all VMs, or the upstream has left
+    /// while it waited, or this VM may not know that.
+    pub async fn admit(&self) -> Option<Time> {
+        self.context.renew_view().await;
         // The quota comes last: a grant within it may be used for a short time only.
-        self.admit_limited().await && self.admit_cold().await && self.check_evacuation()
+        let admitted =
+            self.admit_limited().await && self.admit_cold().await && self.check_standing();
+        admitted.then(|| self.context.send_by())
     }
 
     /// Whether the quota of a cold upstream leaves room.
@@ -167,25 +170,35 @@
         self.context.suspect_cold(self.process(), "gone");
     }
 
-    /// Whether no evacuation forbids to send.
-    fn check_evacuation(&self) -> bool {
-        let (context, now) = (&self.context, self.context.now());
-        let Some(bound_ms) = context.settings().bounds.evacuation_ms else { return true };
-        let bound = Duration::from_millis(bound_ms);
-        let reason = if context.evacuations.borrow().may_lag(bound, now) {
-            if let Some(entry) = context.table.borrow_mut().get_mut(self.key) {
-                entry.closed_until = now.after(STALE_PAUSE);
-            }
-            "stale"
-        } else if context.table.borrow().get(self.key).is_some_and(|entry| entry.evacuated) {
-            "evacuated"
-        } else {
-            return true;
-        };
+    /// Whether the upstream still takes requests, as far as this VM may know.
+    fn check_standing(&self) -> bool {
+        let Some(reason) = self.reason_to_keep_back() else { return true };
         metrics::counter!("serve_sends_kept_back_total", "reason" => reason).increment(1);
         false
     }
 
+    fn reason_to_keep_back(&self) -> Option<&'static str> {
+        let (context, now) = (&self.context, self.context.now());
+        let mut table = context.table.borrow_mut();
+        let Some(entry) = table.get_mut(self.key) else { return Some("gone") };
+        if context.may_lag() {
+            entry.closed_until = now.after(STALE_PAUSE);
+            return Some("stale");
+        }
+        match entry {
+            entry if entry.evacuated => Some("evacuated"),
+            entry if !entry.stays() => Some("leaving"),
+            // The identifier stands for another process by now, maybe of another version.
+            entry if entry.registration.process() != self.process() => Some("restarted"),
+            _ => None,
+        }
+    }
+
+    /// Records that the request was not sent, as connecting took too long.
+    pub fn record_late(&self) {
+        metrics::counter!("serve_sends_kept_back_total", "reason" => "late").increment(1);
+    }
+
     /// Records that the request is sent; the age of the view of the store by which it is.
     pub fn record_sent(&self) -> Duration {
         let age = self.context.view.borrow().confirmed_at.until(self.context.now());
--- a/src/serve/source.rs
+++ b/src/serve/source.rs
@@ -49,7 +49,7 @@
 /// `FOLLOWER_MAX_AGE` and both spreads the second read is sent at an age below 3,000 ms.
 const RETRY: Duration = Duration::from_millis(1_300);
 /// Maximum of that pause.
-const MAX_RETRY: Duration = Duration::from_millis(3_000);
+const MAX_RETRY: Duration = Duration::from_millis(2_300);
 /// Pause of a reader after a failed read while peers keep its view fresh; doubles with each
 /// further one.
 const FRESH_RETRY: Duration = Duration::from_millis(1_000);
--- a/src/settings/serve.rs
+++ b/src/settings/serve.rs
@@ -7,6 +7,7 @@
 
 use super::{Check, Log};
 use crate::id::{DataCentre, Vm};
+use crate::serve::freshness::Terms;
 
 /// Settings of an entry VM that runs `parsleybeam-serve`.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -53,6 +54,9 @@
     pub withdrawal_ms: u64,
     /// Time until a leaving upstream gets no more requests, in milliseconds.
     pub leaving_upstream_ms: u64,
+    /// Time without a failure after which a VM counts as in contact with the key-value service
+    /// again, in milliseconds. Until then the bounds don't bind it.
+    pub contact_ms: u64,
     /// Time from SIGTERM to SIGKILL, in seconds.
     pub stop_s: f64,
     /// Maximum lifetime of a response with addresses, in seconds.
@@ -90,6 +94,8 @@
 const KEY_AGE_MARGIN: Duration = Duration::from_millis(250);
 /// Maximum interval between reads of the key-value service.
 const MAX_POLL_INTERVAL: Duration = Duration::from_millis(900);
+/// Minimum of the bounds of sends, and of the time until a VM is in contact again.
+const MIN_BOUND: Duration = Duration::from_millis(500);
 /// Minimum interval between reads of the key-value service.
 const MIN_POLL_INTERVAL: Duration = Duration::from_millis(100);
 
@@ -99,6 +105,16 @@
         Duration::from_millis(self.withdrawal_ms).saturating_sub(KEY_AGE_MARGIN)
     }
 
+    /// Returns the terms on which requests are sent: the shortest promise about what gets them.
+    pub fn send_terms(self) -> Terms {
+        let bound_ms = self.leaving_upstream_ms.min(self.configuration_ms);
+        let bound_ms = bound_ms.min(self.evacuation_ms.unwrap_or(u64::MAX));
+        Terms {
+            bound: Duration::from_millis(bound_ms),
+            contact: Duration::from_millis(self.contact_ms),
+        }
+    }
+
     /// Returns the interval between reads of the key-value service: half the shortest bound,
     /// so that a change is seen in time.
     pub fn poll_interval(self) -> Duration {
@@ -154,6 +170,11 @@
             return Err(("bounds.rate_overrun", "tolerances must not be negative".into()));
         }
         bounds.check_cold()?;
+        let shortest = bounds.send_terms().bound.min(Duration::from_millis(bounds.contact_ms));
+        if shortest < MIN_BOUND {
+            let detail = format!("bounds below {} ms can't be kept", MIN_BOUND.as_millis());
+            return Err(("bounds.leaving_upstream_ms", detail));
+        }
         if self.memory_mb.is_some_and(|mb| !(mb.is_finite() && mb > 0.0)) {
             return Err(("memory_mb", "must be above 0".into()));
         }
--- a/src/transport/mod.rs
+++ b/src/transport/mod.rs
@@ -25,6 +25,9 @@
     /// No byte of the request was sent.
     #[display("not sent: {_0}")]
     NotSent(String),
+    /// The connection was opened after the time until which the request might be sent.
+    #[display("not sent: its time was over")]
+    Late,
     /// The request was sent, at least in part.
     #[display("sent: {_0}")]
     Sent(String),
--- a/src/transport/pool.rs
+++ b/src/transport/pool.rs
@@ -29,9 +29,11 @@
 /// the largest answer that any reader collects, in small chunks.
 const MAX_WIRE_BYTES: usize = 32 << 20;
 
-/// When an answer's head is due.
+/// When a request is sent at the latest, and when its answer's head is due.
 #[derive(Clone, Copy, Debug)]
 pub struct Due {
+    /// Deadline of the send.
+    pub send: Time,
     /// Maximum time to connect.
     pub connect: Duration,
     /// Deadline of the whole head, interim answers included.
@@ -43,7 +45,7 @@
 impl Due {
     /// Due by `head`, whenever it begins.
     pub fn by(head: Time, connect: Duration) -> Self {
-        Self { connect, head, begun: Duration::MAX }
+        Self { send: Time::NEVER, connect, head, begun: Duration::MAX }
     }
 }
 
@@ -97,6 +99,7 @@
     ) -> Result<Response, Failure> {
         let mut request = request;
         while let Some(mut connection) = self.take(address) {
+            self.check_time(due)?;
             match self.head(&mut connection, request, due).await {
                 Ok(response) => return Ok(self.response(address, connection, response)),
                 // The idle connection was closed before anything was sent.
@@ -106,12 +109,18 @@
         }
         let connecting = Connection::open(&*self.connector, &self.clock, address, due.connect);
         let mut connection = connecting.await?;
+        self.check_time(due)?;
         match self.head(&mut connection, request, due).await {
             Ok(response) => Ok(self.response(address, connection, response)),
             Err((failure, _)) => Err(failure),
         }
     }
 
+    /// Fails if it is too late to send.
+    fn check_time(&self, due: Due) -> Result<(), Failure> {
+        if due.send.passed(self.clock.now()) { Err(Failure::Late) } else { Ok(()) }
+    }
+
     /// Sends a request and reads the head of its answer; the request is returned if no byte of
     /// it was sent.
     async fn head(
--- a/standins/src/soak/site.rs
+++ b/standins/src/soak/site.rs
@@ -114,6 +114,7 @@
             "weight": 1.0,
             "bounds": {
                 "configuration_ms": 2_000, "withdrawal_ms": 3_000, "leaving_upstream_ms": 2_000,
+                "contact_ms": 3_000,
                 "stop_s": super::STOP_TIMEOUT.as_secs_f64(), "addresses_lifetime_s": 5.0, "rate_window_s": 5.0,
                 "rate_overrun": 0.1, "rate_slack": 20.0, "results_s": 120.0,
             },
--- a/tests/serve_evacuation.rs
+++ b/tests/serve_evacuation.rs
@@ -6,11 +6,13 @@
 use parsleybeam::clock::Time;
 use parsleybeam::id::DataCentre;
 use parsleybeam::serve::evacuation::{Change, Evacuations};
+use parsleybeam::serve::freshness::{Freshness, Terms};
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
 const NOW: Time = Time(100_000_000);
 const BOUND: Duration = Duration::from_millis(5_000);
+const TERMS: Terms = Terms { bound: BOUND, contact: Duration::from_millis(6_000) };
 /// Age of the last read up to which a VM is in contact.
 const CONTACT: Duration = Duration::from_millis(4_000);
 const STEP: Duration = Duration::from_millis(50);
@@ -57,19 +59,10 @@
     assert_eq!(evacuations.record_read(&[], millis(31)).taken_back, [zone(0)]);
 }
 
-#[test]
-fn may_lag_after_a_suspension_until_a_read_was_tried() {
-    let mut evacuations = Evacuations::default();
-    evacuations.record_read(&[], NOW);
-    assert!(!evacuations.may_lag(BOUND, millis(4_400)));
-    assert!(evacuations.may_lag(BOUND, millis(4_500)), "a send needs time to arrive");
-    evacuations.record_failed_read(millis(9_000));
-    assert!(!evacuations.may_lag(BOUND, millis(9_100)), "the store is away for this VM");
-}
-
 #[derive(Default)]
 struct Vm {
     evacuations: Evacuations,
+    freshness: Freshness,
     /// Whether it has a list of upstreams.
     listed: bool,
     last_read: Time,
@@ -124,8 +117,10 @@
                 vm.reading = None;
                 vm.next_read = now.after(POLL);
                 if self.outage || vm.cut {
-                    vm.evacuations.record_failed_read(now);
+                    vm.freshness.record_failed(now);
                 } else {
+                    vm.freshness.record_answered();
+                    vm.freshness.record_view(sent);
                     vm.evacuations.record_read(&evacuated, sent);
                     (vm.listed, vm.last_read) = (true, sent);
                 }
@@ -133,6 +128,7 @@
             if vm.reading.is_none() && vm.next_read.passed(now) {
                 let took = Duration::from_millis(self.random.random_range(1..200));
                 vm.reading = Some((now, now.after(took)));
+                vm.freshness.record_sent(now);
             }
         }
         self.deliver();
@@ -203,7 +199,7 @@
 
 /// Asserts that a VM sends nothing to where it must not.
 fn check(vm: &Vm, since: &[Option<Time>; 3], now: Time, seed: u64) {
-    if !vm.listed || vm.evacuations.may_lag(BOUND, now) {
+    if !vm.listed || vm.freshness.may_lag(TERMS, now) {
         return;
     }
     let in_contact = !vm.last_read.after(CONTACT).passed(now);
--- a/tests/serve_source.rs
+++ b/tests/serve_source.rs
@@ -131,10 +131,10 @@
     assert!(!plan.is_due(Role::Follower, at(0), 0, at(2_500)));
     assert!(plan.is_due(Role::Follower, at(0), 0, at(2_600)));
     plan.failed(Role::Follower, 0, at(2_600));
-    assert!(!plan.is_due(Role::Follower, at(0), 0, at(5_100)));
-    assert!(plan.is_due(Role::Follower, at(0), 0, at(5_200)));
+    assert!(!plan.is_due(Role::Follower, at(0), 0, at(4_800)));
+    assert!(plan.is_due(Role::Follower, at(0), 0, at(4_900)));
     plan.answered();
-    assert!(plan.is_due(Role::Follower, at(5_200), 0, at(6_400)));
+    assert!(plan.is_due(Role::Follower, at(4_900), 0, at(6_100)));
 }
 
 /// The store misses one read and answers the next one: the second read must be sent before
