Keep missing upstreams only after reads of the store that failed

What callers saw: nothing but requests cut off at the end of an upstream; requests reached upstreams that had left without saying draining, up to 2.2 s after this VM had read a list without them.

Cause: a VM took any view older than 2 s for an outage of the store, also its own delay, and kept upstreams that were missing for 2.2 s from then on: 2 s, the read and 2.2 s are over the bound of 4 s, and the grace alone is over that of 2 s.

Change: an outage is one that this VM's own reads have met since its last view (Freshness::kept_until). The grace ends at the latest when the VM may be in contact again, contact_ms after its last read that failed, so the bound holds whatever the outage was.

--- a/src/serve/freshness.rs
+++ b/src/serve/freshness.rs
@@ -36,6 +36,12 @@
 /// Maximum time of one attempt of a read, which may make two: its timeout of 1.1 s, and a delay
 /// in each interval of this.
 const ATTEMPT: Duration = Duration::from_millis(1_700);
+/// Time without a view after which failed reads count as an outage of the store, in which
+/// entries of upstreams may have lapsed.
+const OUTAGE: Duration = Duration::from_millis(2_000);
+/// Time from the return of the store to that of the entries that lapsed meanwhile.
+const RETURN: Duration = Duration::from_millis(2_200);
+
 /// A read of the store that is under way.
 #[derive(Clone, Copy, Debug)]
 struct Pending {
@@ -107,6 +113,18 @@
         }
     }
 
+    /// Time until which upstreams that are missing from the view of `current_at` are kept, as
+    /// their entries may have lapsed in an outage; none if there was no outage.
+    pub fn kept_until(&self, current_at: Time, terms: Terms) -> Option<Time> {
+        let failed_at = self.failed_at.filter(|failed_at| *failed_at >= self.current_at)?;
+        if self.current_at == Time(0) || !self.current_at.after(OUTAGE).passed(current_at) {
+            return None;
+        }
+        // From then on this VM may be in contact again, so that the bounds hold for it.
+        let contact_at = failed_at.after(terms.contact.saturating_sub(TRANSIT));
+        Some(current_at.after(RETURN).min(contact_at))
+    }
+
     /// Deadline of sends that are decided by the current view.
     pub fn valid_until(&self, terms: Terms) -> Time {
         let by_view = self.current_at.after(terms.bound.saturating_sub(TRANSIT));
--- a/src/serve/poller.rs
+++ b/src/serve/poller.rs
@@ -25,8 +25,6 @@
 const RETRY: Duration = Duration::from_millis(100);
 /// Maximum pause after failed reads in a row.
 const MAX_RETRY: Duration = Duration::from_millis(500);
-/// Time without a successful read after which the next one counts as the end of an outage.
-const OUTAGE: Duration = Duration::from_millis(2_000);
 
 /// Time for which all reads must have succeeded before this VM removes other members.
 const MIN_STABLE: Duration = Duration::from_millis(2_500);
@@ -191,9 +189,10 @@
 
     fn apply_upstreams(&self, snapshot: &Snapshot, sent_at: Time, now: Time) {
         let last = self.context.view.borrow().confirmed_at;
-        let outage = last != Time(0) && last.after(OUTAGE).passed(sent_at);
+        let terms = self.context.send_terms();
+        let kept_until = self.context.freshness.borrow().kept_until(sent_at, terms);
         self.context.versions.borrow_mut().observe(&snapshot.upstreams, sent_at);
-        let change = self.context.table.borrow_mut().replace(&snapshot.upstreams, outage, now);
+        let change = self.context.table.borrow_mut().replace(&snapshot.upstreams, kept_until, now);
         let age_ms = sent_at.age_millis(now);
         for upstream in change.added {
             emit!(self.context.log, Event::UpstreamAdded, "upstream" => upstream.as_str());
--- a/src/serve/upstream.rs
+++ b/src/serve/upstream.rs
@@ -20,8 +20,6 @@
     pub struct Key;
 }
 
-/// Time for which upstreams missing from the store after an outage are kept.
-const OUTAGE_GRACE: Duration = Duration::from_millis(2_200);
 /// Ejection time after a first failure.
 const EJECTION: Duration = Duration::from_millis(400);
 /// Maximum ejection time after failures in a row.
@@ -198,15 +196,20 @@
     timings: HashMap<Service, Timing>,
     departures: Departures,
     limits: Limits,
-    grace_until: Time,
+    kept_until: Time,
 }
 
 impl Table {
-    /// Applies a new list of registrations; `outage` states that the store could not
-    /// be read for a while before.
-    pub fn replace(&mut self, registrations: &[Registration], outage: bool, now: Time) -> Change {
-        if outage {
-            self.grace_until = now.after(OUTAGE_GRACE);
+    /// Applies a new list of registrations. After an outage of the store, upstreams that are
+    /// missing from this list and from later ones are kept until `kept_until`.
+    pub fn replace(
+        &mut self,
+        registrations: &[Registration],
+        kept_until: Option<Time>,
+        now: Time,
+    ) -> Change {
+        if let Some(kept_until) = kept_until {
+            self.kept_until = kept_until;
         }
         let mut change = Change::default();
         for registration in registrations {
@@ -220,14 +223,14 @@
         }
         let listed: std::collections::HashSet<&Upstream> =
             registrations.iter().map(|registration| &registration.upstream).collect();
-        let in_grace = !self.grace_until.passed(now);
+        let are_kept = !self.kept_until.passed(now);
         let mut removed = Vec::new();
         for (key, entry) in &mut self.entries {
             if listed.contains(&entry.registration.upstream) {
                 entry.is_missing = false;
                 continue;
             }
-            if !in_grace {
+            if !are_kept {
                 removed.push(key);
             } else if !std::mem::replace(&mut entry.is_missing, true) {
                 change.kept.push(entry.registration.upstream.clone());
--- a/tests/fleet_load/mod.rs
+++ b/tests/fleet_load/mod.rs
@@ -116,7 +116,7 @@
         let all: Vec<_> = (0..load.upstreams).map(|index| registration(index, false)).collect();
         let member = || {
             let mut table = Table::default();
-            table.replace(&all, false, Time(0));
+            table.replace(&all, None, Time(0));
             let key = |registration: &Registration| {
                 let named = |entry: &parsleybeam::serve::upstream::Entry| {
                     entry.registration.upstream == registration.upstream
@@ -193,7 +193,7 @@
         let all: Vec<_> =
             (0..self.load.upstreams).map(|index| registration(index, index >= staying)).collect();
         for vm in &mut self.vms {
-            vm.table.replace(&all, false, time(self.now_ms));
+            vm.table.replace(&all, None, time(self.now_ms));
         }
     }
 
--- a/tests/serve_departure.rs
+++ b/tests/serve_departure.rs
@@ -39,16 +39,16 @@
 fn record_leaving_outweighs_the_entry() {
     let mut table = Table::default();
     let (old, new) = (registration("a", 1), registration("a", 2));
-    table.replace(std::slice::from_ref(&old), false, NOW);
+    table.replace(std::slice::from_ref(&old), None, NOW);
     assert!(table.record_leaving(old.process(), NOW, true, NOW));
     assert!(!table.record_leaving(old.process(), NOW, true, NOW), "known already");
     assert!(!usable(&table, "a"));
-    table.replace(std::slice::from_ref(&old), false, NOW);
+    table.replace(std::slice::from_ref(&old), None, NOW);
     assert!(!usable(&table, "a"), "an entry of the same process changes nothing");
-    table.replace(&[], false, NOW);
-    table.replace(std::slice::from_ref(&old), false, NOW);
+    table.replace(&[], None, NOW);
+    table.replace(std::slice::from_ref(&old), None, NOW);
     assert!(!usable(&table, "a"), "nor does one that was away");
-    table.replace(std::slice::from_ref(&new), false, NOW);
+    table.replace(std::slice::from_ref(&new), None, NOW);
     assert!(usable(&table, "a"), "a new process has not said so");
 }
 
@@ -56,9 +56,9 @@
 fn record_leaving_of_one_replica_at_an_address() {
     let mut table = Table::default();
     let (former, next) = (registration("a", 1), registration("b", 2));
-    table.replace(std::slice::from_ref(&former), false, NOW);
+    table.replace(std::slice::from_ref(&former), None, NOW);
     table.record_leaving(former.process(), NOW, true, NOW);
-    table.replace(&[next], false, NOW);
+    table.replace(&[next], None, NOW);
     assert!(usable(&table, "b"), "it has the same address, but is another upstream");
 }
 
@@ -67,7 +67,7 @@
     let mut table = Table::default();
     let entry = registration("a", 1);
     table.record_leaving(entry.process(), NOW, false, NOW);
-    table.replace(&[entry], false, NOW);
+    table.replace(&[entry], None, NOW);
     assert!(!usable(&table, "a"));
 }
 
@@ -76,10 +76,10 @@
     let (mut table, service) = (Table::default(), Service::from("text"));
     assert!(!table.all_leave(&service), "it has no upstream at all");
     let (a, b) = (registration("a", 1), registration("b", 1));
-    table.replace(&[a.clone(), b.clone()], false, NOW);
+    table.replace(&[a.clone(), b.clone()], None, NOW);
     table.record_leaving(a.process(), NOW, true, NOW);
     assert!(!table.all_leave(&service));
-    table.replace(&[a, Registration { draining: true, ..b }], false, NOW);
+    table.replace(&[a, Registration { draining: true, ..b }], None, NOW);
     assert!(table.all_leave(&service));
 }
 
--- a/tests/serve_freshness.rs
+++ b/tests/serve_freshness.rs
@@ -278,3 +278,25 @@
         }
     }
 }
+
+/// Guards against keeping upstreams that are gone since this VM alone saw nothing.
+#[test]
+fn kept_until_only_after_reads_that_failed() {
+    let mut freshness = Freshness::default();
+    assert_eq!(freshness.kept_until(millis(0), TERMS[0]), None, "nothing was read before");
+    freshness.record_view(NOW);
+    assert_eq!(freshness.kept_until(millis(2_600), TERMS[0]), None, "the store was there");
+    freshness.record_sent(millis(900));
+    freshness.record_failed(millis(902));
+    assert_eq!(freshness.kept_until(millis(1_400), TERMS[0]), None, "entries outlast this");
+    assert_eq!(
+        freshness.kept_until(millis(2_100), TERMS[0]).map(|until| until.after(TRANSIT)),
+        Some(millis(3_900)),
+        "from then on it may be in contact"
+    );
+    freshness.record_sent(millis(5_400));
+    freshness.record_failed(millis(5_402));
+    assert_eq!(freshness.kept_until(millis(5_500), TERMS[0]), Some(millis(7_700)));
+    freshness.record_view(millis(5_500));
+    assert_eq!(freshness.kept_until(millis(8_000), TERMS[0]), None, "a view came since");
+}
--- a/tests/serve_load.rs
+++ b/tests/serve_load.rs
@@ -66,7 +66,7 @@
         };
         let all: Vec<_> = (0..UPSTREAMS).map(registration).collect();
         let mut table = Table::default();
-        table.replace(&all, false, Time(0));
+        table.replace(&all, None, Time(0));
         let (online, running, waiting) = (Vec::new(), Vec::new(), Vec::new());
         let item_durations_ms = Vec::new();
         Self {
--- a/tests/serve_origin.rs
+++ b/tests/serve_origin.rs
@@ -138,7 +138,7 @@
 fn online_bound_to_a_version() {
     let mut table = Table::default();
     let (old, new) = (Version::from("v1"), Version::from("v2"));
-    table.replace(&[registration("a", "v1"), registration("b", "v2")], false, NOW);
+    table.replace(&[registration("a", "v1"), registration("b", "v2")], None, NOW);
     assert_eq!(select(&table, Some(&old)).as_deref(), Some("a"));
     assert_eq!(select(&table, Some(&new)).as_deref(), Some("b"));
     let (key, _) = table.iter().find(|(_, entry)| entry.number == place_number("a")).expect("a");
@@ -146,7 +146,7 @@
     assert_eq!(select(&table, None).as_deref(), Some("b"), "an ejected upstream is avoided");
     assert_eq!(select(&table, Some(&old)).as_deref(), Some("a"), "unless no other can go on");
     let draining = Registration { draining: true, ..registration("a", "v1") };
-    table.replace(&[draining, registration("b", "v2")], false, NOW);
+    table.replace(&[draining, registration("b", "v2")], None, NOW);
     assert_eq!(select(&table, Some(&old)), None);
 }
 
@@ -159,9 +159,9 @@
     let mut table = Table::default();
     let (service, version) = (Service::from("text"), Version::from("v1"));
     let room = |table: &Table| place::room(table, &service, &version, NOW);
-    table.replace(&[registration("b", "v2")], false, NOW);
+    table.replace(&[registration("b", "v2")], None, NOW);
     assert_eq!(room(&table), Room::Gone);
-    table.replace(&[registration("a", "v1"), registration("b", "v2")], false, NOW);
+    table.replace(&[registration("a", "v1"), registration("b", "v2")], None, NOW);
     assert_eq!(room(&table), Room::Free);
     let (key, _) = table.iter().find(|(_, entry)| entry.number == place_number("a")).expect("a");
     table.get_mut(key).expect("a").own.online = 1;
--- a/tests/serve_place.rs
+++ b/tests/serve_place.rs
@@ -30,7 +30,7 @@
 fn table(names: &[&str]) -> Table {
     let mut table = Table::default();
     let all: Vec<_> = names.iter().map(|name| registration(name, "porto")).collect();
-    table.replace(&all, false, NOW);
+    table.replace(&all, None, NOW);
     table
 }
 
@@ -100,7 +100,7 @@
     assert_eq!(Selector::new().online(&table), None);
     let mut leaving = registration("b", "porto");
     leaving.draining = true;
-    table.replace(&[registration("a", "porto"), leaving], false, NOW);
+    table.replace(&[registration("a", "porto"), leaving], None, NOW);
     assert_eq!(Selector::new().online(&table), None);
     let later = NOW.after(Duration::from_secs(10));
     assert!(place::online(&table, Selector::new().criteria(&[]), later).is_some());
@@ -133,7 +133,7 @@
     let key = table.iter().next().expect("the table has an upstream").0;
     table.record_failure(key, NOW);
     let restarted = Registration { started_unix_ms: 2, ..registration("a", "porto") };
-    table.replace(&[restarted], false, NOW);
+    table.replace(&[restarted], None, NOW);
     assert!(Selector::new().online(&table).is_some());
 }
 
@@ -244,11 +244,11 @@
 fn replace_after_outage_keeps_missing() {
     let mut table = table(&["a", "b"]);
     let one = [registration("a", "porto")];
-    table.replace(&one, true, NOW);
+    table.replace(&one, Some(NOW.after(Duration::from_millis(2_200))), NOW);
     assert_eq!(table.iter().count(), 2, "the registration of b may only have expired");
-    table.replace(&one, false, NOW.after(Duration::from_millis(2_500)));
+    table.replace(&one, None, NOW.after(Duration::from_millis(2_500)));
     assert_eq!(table.iter().count(), 1, "b is removed after the grace time");
-    table.replace(&[], false, NOW.after(Duration::from_secs(4)));
+    table.replace(&[], None, NOW.after(Duration::from_secs(4)));
     assert_eq!(table.iter().count(), 0, "no grace time without an outage");
 }
 
--- a/tests/serve_priority.rs
+++ b/tests/serve_priority.rs
@@ -251,7 +251,7 @@
         tie_breaker: 0,
     };
     let mut table = Table::default();
-    table.replace(&[registration("limited"), registration("free")], false, START);
+    table.replace(&[registration("limited"), registration("free")], None, START);
     let limited = Process::new(&Upstream::from("limited"), 1);
     table.record_limit(limited, Word { per_s: Some(LIMIT_PER_S), at: START }, true, START);
     let key_of = |table: &Table, is_limited: bool| {
