Repeat reads of the store whose kept connection had ended

What callers saw: nothing yet.

Cause: with Way::Direct a read had one attempt, whatever it failed of.

Change: after a break of a kept connection a read is sent once more, over a new one. A store that refuses or doesn't answer is asked once, as before.

--- a/src/serve/channel.rs
+++ b/src/serve/channel.rs
@@ -52,6 +52,8 @@
 enum CallError {
     /// The call had no effect.
     NoEffect(String),
+    /// The connection broke off; as `Unknown`.
+    Broken(String),
     /// A write may have been applied, or may still be applied later.
     Unknown(String),
 }
@@ -83,13 +85,16 @@
             Some(relay) => (self.address, relay),
             None => (self.address, self.address),
         };
+        let was_kept = self.pool.has_idle(first);
         let failure = match self.attempt(first, &request).await {
             Ok(reply) => return Ok(reply),
             Err(failure) => failure,
         };
         self.record_failure(first);
         let retryable = !is_write || matches!(failure, CallError::NoEffect(_));
-        if !retryable || first == second {
+        // That the store has closed a kept connection says nothing of the store.
+        let is_new_way = first != second || was_kept && matches!(failure, CallError::Broken(_));
+        if !retryable || !is_new_way {
             return Err(error(failure, is_write));
         }
         match self.attempt(second, &request).await {
@@ -112,7 +117,9 @@
         match self.attempt(self.address, &request).await {
             Ok(reply) => reply,
             Err(CallError::NoEffect(reason)) => (StatusCode::SERVICE_UNAVAILABLE, reason.into()),
-            Err(CallError::Unknown(reason)) => (StatusCode::GATEWAY_TIMEOUT, reason.into()),
+            Err(CallError::Broken(reason) | CallError::Unknown(reason)) => {
+                (StatusCode::GATEWAY_TIMEOUT, reason.into())
+            }
         }
     }
 
@@ -142,7 +149,7 @@
         let answer = match &outcome {
             Ok(_) => "answered",
             Err(CallError::NoEffect(_)) => "not done",
-            Err(CallError::Unknown(_)) => "unknown",
+            Err(CallError::Broken(_) | CallError::Unknown(_)) => "unknown",
         };
         let purpose = request.extensions().get().map_or("", |purpose: &Purpose| purpose.label());
         metrics::counter!("serve_store_calls_total", "way" => path, "kind" => kind,
@@ -187,7 +194,7 @@
             Ok(reply) => Ok(reply),
             Err(failure @ Failure::Late) => Err(CallError::NoEffect(failure.to_string())),
             Err(Failure::NotSent(reason)) => Err(CallError::NoEffect(reason)),
-            Err(Failure::Sent(reason)) => Err(CallError::Unknown(reason)),
+            Err(Failure::Sent(reason)) => Err(CallError::Broken(reason)),
             Err(Failure::Unbounded(passed)) => {
                 metrics::counter!("serve_answers_cut_total", "cause" => passed.limit.as_str())
                     .increment(1);
@@ -209,8 +216,10 @@
 
 fn error(failure: CallError, is_write: bool) -> Error {
     match failure {
-        CallError::Unknown(reason) if is_write => Error::new(Kind::WriteUnknown, reason),
-        CallError::Unknown(reason) | CallError::NoEffect(reason) => {
+        CallError::Broken(reason) | CallError::Unknown(reason) if is_write => {
+            Error::new(Kind::WriteUnknown, reason)
+        }
+        CallError::Broken(reason) | CallError::Unknown(reason) | CallError::NoEffect(reason) => {
             Error::new(Kind::PlatformUnavailable, reason)
         }
     }
--- a/src/transport/pool.rs
+++ b/src/transport/pool.rs
@@ -172,6 +172,11 @@
         idle.retain(|_, connections| !connections.is_empty());
     }
 
+    /// Whether an idle connection to `address` is kept.
+    pub fn has_idle(&self, address: SocketAddr) -> bool {
+        self.idle.borrow().get(&address).is_some_and(|connections| !connections.is_empty())
+    }
+
     /// Closes all idle connections to `address`.
     pub fn close_idle(&self, address: SocketAddr) {
         self.idle.borrow_mut().remove(&address);
