Refuse by no configuration that a later one may have replaced

What callers saw: a VM that had no processor time for longer than configuration_ms answered by an old configuration at its return: 404 for a route that was there, 401 for a key that was valid.

Cause: the same as of leaving upstreams: the configuration was used without the age of the view that it came with.

Change: a request waits for a current view, 150 ms at most, and is refused with 503 and a Retry-After if there is none.

--- a/src/serve/exchange.rs
+++ b/src/serve/exchange.rs
@@ -148,8 +148,13 @@
     Ok(Some(tenant))
 }
 
-/// The current configuration; an error before the first one was read.
+/// The current configuration; an error before the first one was read, and while a later one may
+/// have to be in effect.
 pub fn configuration(context: &Context) -> Result<std::sync::Arc<Configuration>> {
+    if context.may_lag() {
+        let detail = "this VM's view of the store is too old; use another one";
+        return Err(Error::new(Kind::OutOfContact, detail).retry_after(OTHER_VM_RETRY));
+    }
     context.configuration().ok_or_else(|| {
         let detail = "this VM has read no configuration yet; use another one";
         Error::new(Kind::OutOfContact, detail).retry_after(OTHER_VM_RETRY)
--- a/src/serve/frontend.rs
+++ b/src/serve/frontend.rs
@@ -73,6 +73,7 @@
         let request_id = head.request_id.clone().unwrap_or_default();
         let mut record = Record::new(self.context.clone(), &request_id);
         self.context.opening.wait().await;
+        self.context.renew_view().await;
         let outcome = match self.read_request(&request, headers, payload).await {
             Ok(incoming) => self.dispatch(incoming, head, &mut record).await,
             Err(error) => Err(error),
