Resume streams without a record for their longest life only

Cause: without a record a VM went on at the only version of the last 30 s. Three ages were not added up: a stream of a route with a longer timeout may have begun before; a version may have come and gone between two reads up to 10 s apart; another VM's word may be 2 s older than what this VM has read.

Evidence: only_version_none_while_a_long_stream_may_be_of_another and only_version_none_after_a_gap_in_which_one_may_have_come_and_gone.

--- a/src/serve/datagram.rs
+++ b/src/serve/datagram.rs
@@ -322,6 +322,9 @@
     /// Service that the stream was sent to.
     #[prost(string, tag = "3")]
     pub service: String,
+    /// Maximum time of one of its attempts, in milliseconds.
+    #[prost(uint64, tag = "4")]
+    pub attempt_ms: u64,
 }
 
 /// The response to an `OriginRequest`.
--- a/src/serve/exchange.rs
+++ b/src/serve/exchange.rs
@@ -28,7 +28,7 @@
     check_parts, check_quarantine, check_version, no_upstream_error, retry_after,
 };
 use super::relay::Relay;
-use super::resume;
+use super::resume::{self, Resumed};
 use super::selection::{self, Patience};
 use super::slot::Slot;
 use super::upstream::Use;
@@ -246,7 +246,9 @@
         [(service, _)] => Some(service),
         _ => None,
     };
-    let Some(origin) = resume::origin(context, peers, stream, only_service).await else {
+    let resumed =
+        Resumed { stream, service: only_service, attempt: Duration::from_millis(route.timeout_ms) };
+    let Some(origin) = resume::origin(context, peers, resumed).await else {
         let detail = "which version began the stream isn't known";
         return Err(Error::new(Kind::NoUpstream, detail).retry_after(retry_after(context, 0)));
     };
--- a/src/serve/origin.rs
+++ b/src/serve/origin.rs
@@ -19,12 +19,14 @@
 use crate::clock::Time;
 use crate::id::{Service, Version};
 
-/// Time for which a record is kept after the deadline of the stream's last attempt, and
-/// for which a service must have had one version before a stream without a record is
-/// resumed.
+/// Time for which a record is kept after the deadline of the stream's last attempt.
 const RETENTION: Duration = Duration::from_secs(30);
-/// Longest time between two reads of the store in which a version can't have come and gone.
-const MAX_READ_GAP: Duration = Duration::from_secs(10);
+/// Longest time between two reads of the store in which a version can't have come and gone: an
+/// upstream stays listed for 2 s after it has said that it leaves.
+const MAX_READ_GAP: Duration = Duration::from_secs(2);
+/// Time for which versions are remembered. Streams of attempts that last longer aren't resumed
+/// without a record.
+const MEMORY: Duration = Duration::from_secs(600);
 /// Age of the last read up to which its versions are taken as current.
 const MAX_READ_AGE: Duration = Duration::from_secs(2);
 /// Maximum number of records; the oldest are dropped first.
@@ -210,25 +212,47 @@
             _ => read_at,
         };
         self.read = Some((since, read_at));
-        self.seen.retain(|_, last| !last.after(RETENTION).passed(read_at));
+        self.seen.retain(|_, last| !last.after(MEMORY).passed(read_at));
         for registration in registrations {
             self.seen.insert(Origin::of(registration), read_at);
         }
     }
 
-    /// The only version that a service has had for as long as a stream may last;
-    /// none if there were several or this VM has read the store for less time.
-    pub fn only_version(&self, service: &Service, now: Time) -> Option<&Version> {
+    /// The only version that a service has had since a stream whose attempts last `attempt` can
+    /// have begun that is resumed now; none if there were several or this VM has read the store
+    /// for less time.
+    pub fn only_version(
+        &self,
+        service: &Service,
+        attempt: Duration,
+        now: Time,
+    ) -> Option<&Version> {
         let (since, last) = self.read?;
-        if !since.after(RETENTION).passed(now) || last.after(MAX_READ_AGE).passed(now) {
+        let lifetime = attempt.saturating_add(RETENTION);
+        let is_known = since.after(lifetime).passed(now) && lifetime <= MEMORY;
+        if !is_known || last.after(MAX_READ_AGE).passed(now) {
             return None;
         }
-        let mut versions = self
-            .seen
-            .keys()
-            .filter(|origin| &origin.service == service)
-            .map(|origin| &origin.version);
+        let mut versions = self.versions_since(service, lifetime, now);
         let only = versions.next()?;
         versions.next().is_none().then_some(only)
     }
+
+    /// Whether a service has had another version than this one for as long.
+    pub fn has_other(&self, origin: &Origin, attempt: Duration, now: Time) -> bool {
+        let lifetime = attempt.saturating_add(RETENTION);
+        self.versions_since(&origin.service, lifetime, now).any(|seen| seen != &origin.version)
+    }
+
+    fn versions_since(
+        &self,
+        service: &Service,
+        lifetime: Duration,
+        now: Time,
+    ) -> impl Iterator<Item = &Version> {
+        let seen = self.seen.iter().filter(move |(origin, last)| {
+            &origin.service == service && !last.after(lifetime).passed(now)
+        });
+        seen.map(|(origin, _)| &origin.version)
+    }
 }
--- a/src/serve/resume.rs
+++ b/src/serve/resume.rs
@@ -47,42 +47,57 @@
     let now = context.now();
     let record = context.origins.borrow().get(Stream::from_hash(request.stream), now);
     let versions = context.versions.borrow();
-    let only = versions.only_version(&request.service.as_str().into(), now);
+    let attempt = Duration::from_millis(request.attempt_ms);
+    let only = versions.only_version(&request.service.as_str().into(), attempt, now);
     let only_version = only.map_or_else(String::new, |version| version.to_string());
     OriginReply { request_id: request.request_id, record, only_version }
 }
 
+/// A stream that a caller resumes.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Resumed<'a> {
+    pub stream: Stream,
+    /// The only service that its route leads to; none if there are several.
+    pub service: Option<&'a Service>,
+    /// Maximum time of one of its attempts.
+    pub attempt: Duration,
+}
+
 /// Origin of a stream that a caller resumes: recorded here or at another VM, or the
-/// only one possible at `service`; none if it can't be known.
+/// only one possible at its service; none if it can't be known.
 pub(super) async fn origin(
     context: &Rc<Context>,
     peers: &Peers,
-    stream: Stream,
-    service: Option<&Service>,
+    resumed: Resumed<'_>,
 ) -> Option<Origin> {
-    let recorded = context.origins.borrow().origin(stream, context.now()).cloned();
-    if let Some(origin) = recorded.or_else(|| only_origin(context, service)) {
+    let recorded = context.origins.borrow().origin(resumed.stream, context.now()).cloned();
+    if let Some(origin) = recorded.or_else(|| only_origin(context, resumed)) {
         return Some(origin);
     }
-    for addresses in [peers.replica_addresses(stream), peers.others()] {
-        match peers.ask_origin(stream, service, &addresses).await {
+    for addresses in [peers.replica_addresses(resumed.stream), peers.others()] {
+        match peers.ask_origin(resumed, &addresses).await {
             Answer::Recorded(record) => {
                 let now = context.now();
                 context.origins.borrow_mut().merge(std::slice::from_ref(&record), now);
                 return Some(record.origin());
             }
-            Answer::Only(origin) => return Some(origin),
+            // This VM may know of a version that the other one hasn't read yet.
+            Answer::Only(origin) => {
+                let versions = context.versions.borrow();
+                let has_other = versions.has_other(&origin, resumed.attempt, context.now());
+                return (!has_other).then_some(origin);
+            }
             Answer::Unknown => {}
         }
     }
     None
 }
 
-/// The only origin possible for streams of `service`, as far as this VM knows.
-fn only_origin(context: &Context, service: Option<&Service>) -> Option<Origin> {
-    let service = service?;
+/// The only origin possible for a stream, as far as this VM knows.
+fn only_origin(context: &Context, resumed: Resumed<'_>) -> Option<Origin> {
+    let service = resumed.service?;
     let versions = context.versions.borrow();
-    let version = versions.only_version(service, context.now())?.clone();
+    let version = versions.only_version(service, resumed.attempt, context.now())?.clone();
     Some(Origin { service: service.clone(), version })
 }
 
@@ -135,19 +150,16 @@
     }
 
     /// Asks other VMs for the origin of a stream. The first record decides.
-    async fn ask_origin(
-        &self,
-        stream: Stream,
-        service: Option<&Service>,
-        addresses: &[SocketAddr],
-    ) -> Answer {
+    async fn ask_origin(&self, resumed: Resumed<'_>, addresses: &[SocketAddr]) -> Answer {
+        let Resumed { stream, service, attempt } = resumed;
         let request_id = self.context().random();
         let (sender, mut replies) = mpsc::unbounded_channel();
         self.origin_requests.waiting.borrow_mut().insert(request_id, sender);
         let service_name = service.map_or_else(String::new, |service| service.to_string());
         for address in addresses {
             let service = service_name.clone();
-            let request = OriginRequest { request_id, stream: stream.hash(), service };
+            let attempt_ms = attempt.as_millis() as u64;
+            let request = OriginRequest { request_id, stream: stream.hash(), service, attempt_ms };
             self.send_to(Content::OriginRequest(request), *address);
         }
         let until = self.context().now().after(REPLY_TIMEOUT);
--- a/tests/serve_origin.rs
+++ b/tests/serve_origin.rs
@@ -11,6 +11,8 @@
 use parsleybeam::serve::upstream::Table;
 
 const NOW: Time = Time(100_000_000);
+/// Timeout of an attempt.
+const ATTEMPT: Duration = Duration::from_secs(5);
 
 fn registration(name: &str, version: &str) -> Registration {
     Registration {
@@ -90,12 +92,14 @@
 fn only_version_after_a_while() {
     let (mut history, service) = (History::default(), Service::from("text"));
     let one = [registration("a", "v1")];
-    observe(&mut history, &one, 0, 29);
-    assert_eq!(history.only_version(&service, seconds(29)), None, "others may have left before");
-    observe(&mut history, &one, 30, 31);
-    assert_eq!(history.only_version(&service, seconds(31)), Some(&Version::from("v1")));
-    assert_eq!(history.only_version(&Service::from("none"), seconds(31)), None);
-    assert_eq!(history.only_version(&service, seconds(34)), None, "the last read is too old");
+    observe(&mut history, &one, 0, 34);
+    let too_soon = history.only_version(&service, ATTEMPT, seconds(34));
+    assert_eq!(too_soon, None, "others may have left before");
+    observe(&mut history, &one, 35, 36);
+    assert_eq!(history.only_version(&service, ATTEMPT, seconds(36)), Some(&Version::from("v1")));
+    assert_eq!(history.only_version(&Service::from("none"), ATTEMPT, seconds(36)), None);
+    let too_old = history.only_version(&service, ATTEMPT, seconds(39));
+    assert_eq!(too_old, None, "the last read is too old");
 }
 
 #[test]
@@ -103,10 +107,36 @@
     let (mut history, service) = (History::default(), Service::from("text"));
     observe(&mut history, &[registration("a", "v1")], 0, 40);
     observe(&mut history, &[registration("a", "v1"), registration("b", "v2")], 41, 45);
-    observe(&mut history, &[registration("b", "v2")], 46, 74);
-    assert_eq!(history.only_version(&service, seconds(74)), None);
-    observe(&mut history, &[registration("b", "v2")], 75, 77);
-    assert_eq!(history.only_version(&service, seconds(77)), Some(&Version::from("v2")));
+    observe(&mut history, &[registration("b", "v2")], 46, 79);
+    assert_eq!(history.only_version(&service, ATTEMPT, seconds(79)), None);
+    let v2 = Version::from("v2");
+    let origin = |version: &str| Origin::of(&registration("any", version));
+    assert!(history.has_other(&origin("v2"), ATTEMPT, seconds(79)), "a peer may know less");
+    observe(&mut history, &[registration("b", "v2")], 80, 82);
+    assert_eq!(history.only_version(&service, ATTEMPT, seconds(82)), Some(&v2));
+    assert!(!history.has_other(&origin("v2"), ATTEMPT, seconds(82)));
+}
+
+/// A stream of a route with a long timeout may have begun long ago, at a version that is gone.
+#[test]
+fn only_version_none_while_a_long_stream_may_be_of_another() {
+    let (mut history, service) = (History::default(), Service::from("text"));
+    let minute = Duration::from_secs(60);
+    observe(&mut history, &[registration("a", "v1"), registration("b", "v2")], 0, 3);
+    observe(&mut history, &[registration("b", "v2")], 4, 94);
+    assert_eq!(history.only_version(&service, minute, seconds(92)), None);
+    assert_eq!(history.only_version(&service, minute, seconds(94)), Some(&Version::from("v2")));
+    assert_eq!(history.only_version(&service, minute * 10, seconds(94)), None, "nor remembered");
+}
+
+/// An upstream that came and left between two reads may have begun streams.
+#[test]
+fn only_version_none_after_a_gap_in_which_one_may_have_come_and_gone() {
+    let (mut history, service) = (History::default(), Service::from("text"));
+    let one = [registration("a", "v1")];
+    observe(&mut history, &one, 0, 40);
+    observe(&mut history, &one, 44, 78);
+    assert_eq!(history.only_version(&service, ATTEMPT, seconds(78)), None);
 }
 
 #[test]
@@ -115,9 +145,9 @@
     let one = [registration("a", "v1")];
     observe(&mut history, &one, 0, 40);
     observe(&mut history, &one, 60, 80);
-    assert_eq!(history.only_version(&service, seconds(80)), None);
-    observe(&mut history, &one, 81, 91);
-    assert!(history.only_version(&service, seconds(91)).is_some());
+    assert_eq!(history.only_version(&service, ATTEMPT, seconds(80)), None);
+    observe(&mut history, &one, 81, 96);
+    assert!(history.only_version(&service, ATTEMPT, seconds(96)).is_some());
 }
 
 fn select(table: &Table, version: Option<&Version>) -> Option<String> {
