--- a/src/event/catalogue.rs
+++ b/src/event/catalogue.rs
@@ -80,7 +80,7 @@
     518 AnswerUnbounded Warning "an answer passed a bound in bytes or time and was cut";
     519 ReaderSlow Info "a caller reads its response slowly";
     520 UpstreamDraining Info "entry of an upstream says that it leaves; it gets no more requests";
-    521 UpstreamKept Info "entry of an upstream is missing after an outage; kept for a while";
+    522 UpstreamKept Info "entry of an upstream is missing after an outage; kept for a while";
 
     601 SharesMoved Info "share table adopted";
     602 RateReleased Info "bucket of a rate limit released to another VM";
