--- a/src/serve/freshness.rs
+++ b/src/serve/freshness.rs
@@ -33,8 +33,8 @@
 /// Delay of such a call, or of a failure, by which this process was held up: the answer may have
 /// arrived meanwhile.
 const MAX_DELAY: Duration = Duration::from_millis(150);
-/// Maximum time of one attempt of a read, which may make two: its timeout of 1.1 s, and a delay
-/// in each interval of this.
+/// Maximum time of one attempt of a read, which may make two: its timeout of 1.1 s, and delays of
+/// this process that are too short to be noticed.
 const ATTEMPT: Duration = Duration::from_millis(1_700);
 /// Time without a view after which failed reads count as an outage of the store, in which
 /// entries of upstreams may have lapsed.
@@ -74,6 +74,7 @@
 pub struct Freshness {
     /// Time at which the view was current.
     current_at: Time,
+    /// The read that is under way.
     pending: Option<Pending>,
     /// Send time of the last attempt that failed.
     failed_at: Option<Time>,
