--- a/review/1/main.rs
+++ b/review/1/main.rs
@@ -107,7 +107,7 @@
                 serve(&record, &runs, request, peer)
             })?;
         }
-        let machines = case.start_machines(9, &store)?;
+        let machines = case.start_machines(10, &store)?;
         let owner = &machines[0];
         let items: Vec<String> = ITEMS.iter().map(|item| (*item).to_owned()).collect();
         let answer = hand_in(owner, PREFIX, JOB, &items);
--- a/review/harness/mod.rs
+++ b/review/harness/mod.rs
@@ -79,10 +79,23 @@
     temporary: PathBuf,
     processes: Arc<Mutex<Vec<u32>>>,
     network: [u8; 2],
+    bounds: Bounds,
 }
 
-/// Runs a case and exits with its code. `number` names its folder.
+/// Bounds of an installation, by the names of the pages.
+pub type Bounds = [(&'static str, &'static str); 10];
+
+/// Runs a case with the bounds of Limpa Norte's installation and exits with its code. `number`
+/// names its folder.
 pub fn run<C>(number: &str, case: C) -> !
+where
+    C: FnOnce(&Case) -> Result<bool, String>,
+{
+    run_at(number, LIMPA_NORTE, case)
+}
+
+/// The same with the bounds of any installation.
+pub fn run_at<C>(number: &str, bounds: Bounds, case: C) -> !
 where
     C: FnOnce(&Case) -> Result<bool, String>,
 {
@@ -111,6 +124,7 @@
                 temporary: temporary.clone(),
                 processes: processes.clone(),
                 network,
+                bounds,
             };
             case(&running)
         });
@@ -269,7 +283,8 @@
         let name = format!("edge-{zone}-{}", (usize::from(number) - 1) / ZONES.len() + 1);
         let (front, ready) = (self.free(number)?, self.free(number)?);
         let (directory, peer, relay) = (self.free(number)?, self.free(number)?, self.free(number)?);
-        let mut values: HashMap<String, String> = BOUNDS
+        let mut values: HashMap<String, String> = self
+            .bounds
             .iter()
             .map(|(name, value)| (format!("bounds.{name}"), (*value).to_owned()))
             .collect();
@@ -370,8 +385,8 @@
     }
 }
 
-/// The bounds of Limpa Norte's installation.
-const BOUNDS: [(&str, &str); 10] = [
+/// The bounds of limpa-norte.
+pub const LIMPA_NORTE: Bounds = [
     ("config_apply_ms", "2000"),
     ("revoke_ms", "5000"),
     ("drain_ms", "2000"),
@@ -384,6 +399,20 @@
     ("status_ttl_s", "120"),
 ];
 
+/// The bounds of plr-vesiverkko-grown.
+pub const VESIVERKKO: Bounds = [
+    ("config_apply_ms", "3000"),
+    ("revoke_ms", "5000"),
+    ("drain_ms", "3000"),
+    ("contact_ms", "4000"),
+    ("grace_s", "8"),
+    ("ttl_max_s", "5"),
+    ("quota_window_s", "5"),
+    ("quota_overrun", "0.1"),
+    ("quota_slack", "20"),
+    ("status_ttl_s", "120"),
+];
+
 /// Value of `name = "..."` under a section of the deploy file.
 fn setting(deploy: &str, section: &str, name: &str) -> Option<String> {
     let rest = &deploy[deploy.find(section)? + section.len()..];
