--- a/review/1/main.rs
+++ b/review/1/main.rs
@@ -23,7 +23,7 @@
 const EVENTS: u64 = 6;
 /// Pause between events, by item, in an item's first run and in later ones.
 const FIRST_PAUSE_MS: [u64; 3] = [40, 50, 60];
-const LATER_PAUSE_MS: [u64; 3] = [20, 600, 30];
+const LATER_PAUSE_MS: [u64; 3] = [5, 600, 8];
 
 #[derive(Default)]
 struct Runs {
