--- a/review/1/main.rs
+++ b/review/1/main.rs
@@ -1,7 +1,7 @@
 //! The owner of a batch job is suspended while the last results wait to be written. Another
 //! machine takes the job over and lists them in another order.
 
-#[path = "../harness/mod.rs"]
+#[path = "../harness.rs"]
 mod harness;
 
 use std::collections::HashMap;
--- a/review/4/main.rs
+++ b/review/4/main.rs
@@ -1,7 +1,7 @@
 //! A machine gets SIGTERM. Requests that it takes from clients between 3 and 4 s later, and
 //! that last for over 4 s, are cut off when its process ends.
 
-#[path = "../harness/mod.rs"]
+#[path = "../harness.rs"]
 mod harness;
 
 use std::io;
