--- a/src/serve/jobs/manager.rs
+++ b/src/serve/jobs/manager.rs
@@ -1,4 +1,4 @@
-//! Manages the jobs that this VM owns: accepts them and stores their results.
+//! Manages the jobs that this VM owns: accepts them, cancels them, and tells what they hold.
 
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, HashMap, HashSet};
@@ -11,10 +11,8 @@
 use super::cache::{Cache, Listing};
 use super::directory::Directory;
 use super::dispatch::RunningItem;
-use super::job::{Cause, Job, Snapshot, Status, Times};
-use super::record::{
-    Head, Item, Pending, Spec, ended_key, head_key, pending_key, result_key, spec_key,
-};
+use super::job::{Cause, Job, Snapshot, Times};
+use super::record::{Head, Item, Pending, Spec, ended_key, head_key, pending_key, spec_key};
 use crate::clock::Time;
 use crate::emit;
 use crate::error::{Error, Kind, Result};
@@ -25,10 +23,8 @@
 
 /// Maximum size of a chunk of a job's items in one key, in bytes.
 const CHUNK_BYTES: usize = 700_000;
-/// Initial backoff after a failed write to the store.
-const MIN_WRITE_BACKOFF: Duration = Duration::from_millis(100);
-/// Maximum backoff after failed writes to the store.
-const MAX_WRITE_BACKOFF: Duration = Duration::from_millis(800);
+/// Pause before an acceptance with an unknown outcome is sent again.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(100);
 /// Time for which an acceptance with an unknown outcome is retried.
 const ACCEPT_TIMEOUT: Duration = Duration::from_millis(2_500);
 /// `Retry-After` for callers whose organisation has too many tokens waiting.
@@ -149,7 +145,7 @@
                 let detail = format!("job {job}: the store didn't say whether it was accepted");
                 return Err(Error::new(Kind::DeadlineExceeded, detail));
             }
-            tokio::time::sleep(MIN_WRITE_BACKOFF).await;
+            tokio::time::sleep(ACCEPT_PAUSE).await;
         }
     }
 
@@ -233,97 +229,6 @@
         self.context.work_changed.notify_one();
     }
 
-    /// Starts a task that stores the results of a job until none is left.
-    pub(super) fn flush(self: &Rc<Self>, id: &str) {
-        let mut owned = self.owned.borrow_mut();
-        let Some(entry) = owned.get_mut(id) else { return };
-        if entry.flushing {
-            return;
-        }
-        entry.flushing = true;
-        let (jobs, id) = (self.clone(), id.to_owned());
-        let pause = entry.job.write_pause(self.context.now());
-        actix_rt::spawn(async move {
-            // A planned stop ends the wait for further results.
-            let _ = tokio::time::timeout(pause, jobs.leaving.notified()).await;
-            while jobs.store_results(&id).await {}
-            if let Some(entry) = jobs.owned.borrow_mut().get_mut(&id) {
-                entry.flushing = false;
-            }
-        });
-    }
-
-    /// Stores the next batch of results; false if none is left or the job is no
-    /// longer owned.
-    async fn store_results(self: &Rc<Self>, id: &str) -> bool {
-        let Some((transaction, first)) = self.next_write(id) else { return false };
-        let mut pause = MIN_WRITE_BACKOFF;
-        loop {
-            match self.context.store.commit(transaction.clone()).await {
-                Ok(Commit::Applied(_)) => break,
-                Ok(Commit::Refused(current)) => {
-                    let (key, value) = &transaction.puts[0];
-                    let ours =
-                        current.iter().any(|entry| &entry.key == key && &entry.value == value);
-                    if !ours {
-                        self.drop_job(id, "the pending entry changed");
-                        return false;
-                    }
-                    break;
-                }
-                Err(error) => {
-                    emit!(self.context.log, Event::StoreCallFailed, "job" => id,
-                        "position" => first, "reason" => error.detail.as_str());
-                    tokio::time::sleep(pause).await;
-                    pause = (pause * 2).min(MAX_WRITE_BACKOFF);
-                }
-            }
-            if !self.owned.borrow().contains_key(id) {
-                return false;
-            }
-        }
-        self.finish_write(id)
-    }
-
-    fn next_write(&self, id: &str) -> Option<(Transaction, usize)> {
-        let mut owned = self.owned.borrow_mut();
-        let job = &mut owned.get_mut(id)?.job;
-        let (first, batch) = job.next_write()?;
-        let expected = vec![
-            Expectation { key: pending_key(id), version: job.fence },
-            Expectation { key: result_key(id, first), version: 0 },
-        ];
-        let puts = batch
-            .iter()
-            .enumerate()
-            .map(|(index, result)| (result_key(id, first + index), result.encode_to_vec()))
-            .collect();
-        let deletes = if job.write_is_last() { vec![pending_key(id)] } else { Vec::new() };
-        Some((Transaction { expected, puts, deletes }, first))
-    }
-
-    fn finish_write(&self, id: &str) -> bool {
-        let mut all = self.owned.borrow_mut();
-        let Some(entry) = all.get_mut(id) else { return false };
-        let position = entry.job.results.len();
-        let status = entry.job.confirm_write();
-        entry.results_stored.notify_waiters();
-        let stored = entry.job.results[position..].iter().map(|result| result.item.as_str());
-        emit!(self.context.log, Event::ResultsStored, "job" => id, "position" => position,
-            "items" => stored.collect::<Vec<_>>().join(" "));
-        if status == Status::Open {
-            return true;
-        }
-        if let Some(owned) = all.remove(id) {
-            emit!(self.context.log, Event::JobFinished, "job" => id,
-                "items" => owned.job.results.len());
-            let Job { head, results, .. } = owned.job;
-            let (organisation, total) = (head.organisation, results.len());
-            self.cache.insert(id, Listing { organisation, total, results });
-        }
-        false
-    }
-
     /// Stops running a job that was cancelled or is now owned by another VM.
     pub fn drop_job(&self, id: &str, reason: &str) {
         let Some(owned) = self.owned.borrow_mut().remove(id) else { return };
--- a/src/serve/jobs/mod.rs
+++ b/src/serve/jobs/mod.rs
@@ -25,6 +25,7 @@
 mod job;
 mod manager;
 mod record;
+mod results;
 mod run;
 mod schedule;
 mod takeover;
