--- a/src/event/catalogue.rs
+++ b/src/event/catalogue.rs
@@ -44,6 +44,7 @@
     105 TaskFailed Error "a task failed and was restarted";
     106 SpanEnded Debug "span ended";
     107 LogLinesDropped Warning "log lines were dropped: rate limit or queue size exceeded";
+    108 RequestCut Warning "a request was cut by the end of the process";
 
     201 SettingsReloaded Info "settings reloaded";
     202 SettingsRefused Error "changed settings are invalid; keeping the previous ones";
--- a/src/serve/exchange.rs
+++ b/src/serve/exchange.rs
@@ -180,6 +180,12 @@
     }
 }
 
+/// Deadline of a request that arrived at `arrived`: the caller's, the route's at the latest.
+pub(super) fn deadline(head: &Head, route: &Route, arrived: Time) -> Time {
+    let timeout_ms = head.caller_timeout_ms.unwrap_or(route.timeout_ms).min(route.timeout_ms);
+    arrived.after(Duration::from_millis(timeout_ms))
+}
+
 async fn admit(
     context: &Rc<Context>,
     peers: &Rc<Peers>,
@@ -216,11 +222,10 @@
         record.organisation = tenant.organisation.to_string();
         enforce_rate(peers, tenant, record).await?;
     }
-    let timeout_ms = head.caller_timeout_ms.unwrap_or(route.timeout_ms).min(route.timeout_ms);
     Ok(Admitted {
         organisation: tenant.map(|tenant| tenant.organisation.clone()),
         authenticated: tenant.is_some(),
-        deadline: started_at.after(Duration::from_millis(timeout_ms)),
+        deadline: deadline(&head, route, started_at),
         started_at,
         service,
         version,
--- a/src/serve/frontend.rs
+++ b/src/serve/frontend.rs
@@ -3,6 +3,7 @@
 //! They serve callers' requests, the readiness check and requests for
 //! addresses, all on the process's single thread.
 
+use std::cell::Cell;
 use std::convert::Infallible;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -20,16 +21,17 @@
 use rand_chacha::ChaCha8Rng;
 use tokio::net::TcpListener;
 
+use super::active::{Active, Guard};
 use super::address::{self, Candidate};
-use super::configuration::Kind as RouteKind;
+use super::configuration::{Kind as RouteKind, Route};
 use super::context::Context;
 use super::exchange::{self, Body, Reply};
 use super::jobs::Jobs;
 use super::peers::Peers;
-use super::protocol::Request;
+use super::protocol::{Head, Request};
 use super::record::Record;
+use super::stop::Stop;
 use crate::api::caller::read;
-use crate::clock::Time;
 use crate::error::{Error, Kind, Result, Run};
 
 /// Idle timeout of connections.
@@ -46,6 +48,10 @@
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 /// Maximum size of a request body where the configuration sets no limit, in bytes.
 pub(super) const MAX_BODY_BYTES: usize = 16 << 20;
+/// Longest time that a call about a job takes: a wait for results and a read of the store.
+const CALL_TIME: Duration = Duration::from_millis(2_500);
+/// `Retry-After` for callers of a VM that stops: others serve them now.
+const LEAVING_RETRY_AFTER: Duration = Duration::from_millis(50);
 /// Lifetime of a response with addresses, in milliseconds.
 const ADDRESSES_LIFETIME_MS: u64 = 2_000;
 
@@ -58,28 +64,28 @@
     pub peers: Rc<Peers>,
     /// The batch jobs.
     pub jobs: Rc<Jobs>,
-    /// Number of requests in progress.
-    pub active: Rc<std::cell::Cell<usize>>,
-    /// Time from which new requests are refused; set by a graceful shutdown.
-    pub refuse_from: Rc<std::cell::Cell<Time>>,
+    /// Requests in progress.
+    pub active: Rc<Active>,
+    /// The graceful shutdown, once it has begun.
+    pub stop: Rc<Cell<Option<Stop>>>,
 }
 
 impl Frontend {
     /// Handles a caller's request.
     pub async fn call(&self, request: HttpRequest, payload: web::Payload) -> HttpResponse {
-        let _active = Active::new(&self.active);
         let headers = copy_headers(&request);
         let head = self.context.protocol.head(&headers);
         let request_id = head.request_id.clone().unwrap_or_default();
+        let active = self.active.begin(&request_id, self.context.now());
         let mut record = Record::new(self.context.clone(), &request_id);
         self.context.opening.wait().await;
         self.context.renew_view().await;
         let outcome = match self.read_request(&request, headers, payload).await {
-            Ok(incoming) => self.dispatch(incoming, head, &mut record).await,
+            Ok(incoming) => self.dispatch(incoming, head, &active, &mut record).await,
             Err(error) => Err(error),
         };
         let mut response = match outcome {
-            Ok(reply) => to_response(reply, &self.active),
+            Ok(reply) => to_response(reply, active),
             Err(error) => {
                 record.status = error.answer().status;
                 record.reason = error.detail.clone();
@@ -112,20 +118,20 @@
     async fn dispatch(
         &self,
         incoming: Request,
-        head: super::protocol::Head,
+        head: Head,
+        active: &Guard,
         record: &mut Record,
     ) -> Result<Reply> {
-        if self.refuse_from.get().passed(self.context.now()) {
-            let detail = "this VM is leaving; use another one";
-            return Err(Error::new(Kind::Leaving, detail).retry_after(Duration::from_millis(50)));
-        }
         if let Some(call) = self.context.protocol.job_call(&incoming) {
+            self.check_stop(&head, None, active)?;
             let reply = self.jobs.handle_call(call?, &head, &self.peers).await;
             record_reply(record, &reply);
             return reply;
         }
         let configuration = exchange::configuration(&self.context)?;
-        if let Some(route) = configuration.route(&head.host, &incoming.path)
+        let route = configuration.route(&head.host, &incoming.path);
+        self.check_stop(&head, route, active)?;
+        if let Some(route) = route
             && route.kind == RouteKind::Batch
             && incoming.method == Method::POST
         {
@@ -141,6 +147,21 @@
         exchange::serve(&self.context, &self.peers, incoming, head, record).await
     }
 
+    /// Refuses a request that may last longer than this VM, which stops.
+    fn check_stop(&self, head: &Head, route: Option<&Route>, active: &Guard) -> Result<()> {
+        let now = self.context.now();
+        let deadline = match route.filter(|route| route.kind != RouteKind::Batch) {
+            Some(route) => exchange::deadline(head, route, now),
+            None => now.after(CALL_TIME),
+        };
+        active.set_deadline(deadline);
+        if self.stop.get().is_none_or(|stop| stop.accepts(deadline, now)) {
+            return Ok(());
+        }
+        let detail = "this VM is leaving; use another one";
+        Err(Error::new(Kind::Leaving, detail).retry_after(LEAVING_RETRY_AFTER))
+    }
+
     fn refuse(&self, error: &Error, request_id: &str) -> HttpResponse {
         let answer = error.answer();
         let status = match (answer.status, answer.run) {
@@ -274,22 +295,6 @@
     Ok(())
 }
 
-/// Counts a request in progress until it is dropped.
-struct Active(Rc<std::cell::Cell<usize>>);
-
-impl Active {
-    fn new(count: &Rc<std::cell::Cell<usize>>) -> Self {
-        count.set(count.get() + 1);
-        Self(count.clone())
-    }
-}
-
-impl Drop for Active {
-    fn drop(&mut self) {
-        self.0.set(self.0.get() - 1);
-    }
-}
-
 fn record_reply(record: &mut Record, reply: &Result<Reply>) {
     if let Ok(reply) = reply {
         record.status = reply.status.as_u16();
@@ -309,7 +314,8 @@
     headers
 }
 
-fn to_response(reply: Reply, active: &Rc<std::cell::Cell<usize>>) -> HttpResponse {
+/// The response for a reply; `active` lasts until its body has been handed to actix.
+fn to_response(reply: Reply, active: Guard) -> HttpResponse {
     let status = actix_web::http::StatusCode::from_u16(reply.status.as_u16());
     let status = status.unwrap_or(actix_web::http::StatusCode::BAD_GATEWAY);
     let mut response = HttpResponse::build(status);
@@ -327,12 +333,9 @@
             response.body(SizedStream::new(length, slices.boxed_local()))
         }
         Body::Whole(body) => response.body(body),
-        Body::Events(events) => {
-            let active = Active::new(active);
-            response.streaming(events.map(move |chunk| {
-                let _ = &active;
-                chunk
-            }))
-        }
+        Body::Events(events) => response.streaming(events.map(move |chunk| {
+            let _ = &active;
+            chunk
+        })),
     }
 }
--- a/src/serve/mod.rs
+++ b/src/serve/mod.rs
@@ -10,6 +10,7 @@
 //! | concern | logic | I/O |
 //! |---|---|---|
 //! | upstream selection and load shedding | `place`, `departure` | `exchange` |
+//! | requests that come while this VM stops | `stop` | `active`, `frontend`, `node` |
 //! | requests that come before the first read | `opening` | `frontend` |
 //! | rate limits of organisations | `rate`, `reserve` | `token`, `hand_over` |
 //! | limits that upstreams name | `limit`, `priority` | `gate` |
@@ -26,6 +27,7 @@
 //! | memory held for slow readers | `held` | `relay`, `unread`, `frontend` |
 //! | access to the store | `source`, `channel` | `channel`, `reader` |
 
+mod active;
 pub mod address;
 mod bucket;
 pub mod channel;
@@ -75,6 +77,7 @@
 mod selection;
 pub mod slot;
 pub mod source;
+pub mod stop;
 pub mod store;
 mod timing;
 mod token;
--- a/src/serve/node.rs
+++ b/src/serve/node.rs
@@ -1,6 +1,5 @@
 //! The process of one entry VM: start, reload and graceful shutdown.
 
-use std::cell::Cell;
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::rc::Rc;
@@ -21,6 +20,7 @@
 use super::poller::Poller;
 use super::protocol::Protocol;
 use super::reader::Reader;
+use super::stop::Stop;
 use super::store::Store;
 use crate::clock::{Boottime, Clock, Time};
 use crate::emit;
@@ -30,12 +30,10 @@
 use crate::settings;
 use crate::transport::Connector;
 
-/// Maximum time for which new requests are still accepted after a shutdown has begun.
-const ACCEPT_DURING_STOP: Duration = Duration::from_millis(5_000);
-/// Time before the expected SIGKILL at which the process exits.
-const EXIT_MARGIN: Duration = Duration::from_millis(400);
 /// Pause between two checks whether requests are still in progress.
 const DRAIN_CHECK_PAUSE: Duration = Duration::from_millis(50);
+/// Timeout of storing the partial output of all items.
+const HAND_OVER_TIMEOUT: Duration = Duration::from_millis(2_000);
 /// Timeout of marking this VM as leaving in the store.
 const LEAVE_TIMEOUT: Duration = Duration::from_millis(800);
 
@@ -116,8 +114,8 @@
         context: context.clone(),
         peers: peers.clone(),
         jobs: jobs.clone(),
-        active: Rc::new(Cell::new(0)),
-        refuse_from: Rc::new(Cell::new(Time::NEVER)),
+        active: Rc::default(),
+        stop: Rc::default(),
     };
     frontend.serve_callers(callers.socket)?;
     frontend.serve_checks(readiness.socket)?;
@@ -163,12 +161,13 @@
     /// Leaves the fleet and waits until the requests in progress are done or the
     /// time to stop is used up.
     pub async fn drain(self) {
-        let started = self.context.now();
-        let stop = Duration::from_secs_f64(self.context.settings().bounds.stop_s);
-        let end = started.after(stop.saturating_sub(EXIT_MARGIN));
-        emit!(self.context.log, Event::Stopping, "active" => self.frontend.active.get(),
-            "left_ms" => started.until(end).as_millis() as u64);
+        let grace = Duration::from_secs_f64(self.context.settings().bounds.stop_s);
+        let stop = Stop::new(self.context.now(), grace);
         self.context.stopping.set(true);
+        self.frontend.stop.set(Some(stop));
+        let left_ms = |until: Time| self.context.now().until(until).as_millis() as u64;
+        emit!(self.context.log, Event::Stopping, "active" => self.frontend.active.count(),
+            "accepts_ms" => left_ms(stop.accepts_until), "left_ms" => left_ms(stop.end));
         // VMs of older versions take a VM that is marked as leaving to grant no more.
         let hands_over = self.context.limiter.borrow().is_uniform();
         if !hands_over {
@@ -176,20 +175,37 @@
         }
         self.peers.send_load();
         self.peers.hand_over_origins();
-        self.jobs.hand_over().await;
+        self.hand_over_jobs().await;
         let is_marked = self.mark_leaving().await;
-        let refuse = started.after(ACCEPT_DURING_STOP.min(stop / 2));
-        self.frontend.refuse_from.set(refuse);
-        tokio::time::sleep(self.context.now().until(refuse)).await;
-        let is_busy = || self.frontend.active.get() > 0 || self.context.paths.is_relaying();
-        while is_busy() && !end.passed(self.context.now()) {
+        tokio::time::sleep(self.context.now().until(stop.accepts_until)).await;
+        let is_busy = || self.frontend.active.count() > 0 || self.context.paths.is_relaying();
+        while is_busy() && !stop.end.passed(self.context.now()) {
             tokio::time::sleep(DRAIN_CHECK_PAUSE).await;
         }
         if hands_over && is_marked {
             // The next process of this VM waits for the buckets, since it finds its entry marked.
             self.peers.hand_over_buckets();
         }
-        emit!(self.context.log, Event::Stopped, "active" => self.frontend.active.get());
+        self.log_cut();
+        emit!(self.context.log, Event::Stopped, "active" => self.frontend.active.count());
+    }
+
+    /// Hands the jobs over, as far as the store takes them in time.
+    async fn hand_over_jobs(&self) {
+        if tokio::time::timeout(HAND_OVER_TIMEOUT, self.jobs.hand_over()).await.is_err() {
+            let reason = "the partial output of items wasn't stored in time";
+            emit!(self.context.log, Event::StoreCallFailed, "reason" => reason);
+        }
+    }
+
+    /// Logs the requests that the end of the process cuts.
+    fn log_cut(&self) {
+        let now = self.context.now();
+        for request in self.frontend.active.requests() {
+            emit!(self.context.log, Event::RequestCut, "request" => request.id,
+                "age_ms" => request.arrived.age_millis(now),
+                "left_ms" => now.until(request.deadline).as_millis() as u64);
+        }
     }
 
     /// Marks this VM as leaving in the store; whether that is known to be done.
