Count answers until their last byte is written when a VM stops (LOST)

Cause: a request with a whole answer counted as in progress only until its handler returned. actix then holds the body, and its last part in its write buffer, while the caller reads.

Change: the entry of a request in progress lasts until actix has taken the whole body, and connections with bytes that their sockets don't take yet are counted; a stop waits for both, until its end.

--- a/src/serve/frontend.rs
+++ b/src/serve/frontend.rs
@@ -31,6 +31,7 @@
 use super::protocol::{Head, Request};
 use super::record::Record;
 use super::stop::Stop;
+use super::unwritten;
 use crate::api::caller::read;
 use crate::error::{Error, Kind, Result, Run};
 
@@ -66,6 +67,8 @@
     pub jobs: Rc<Jobs>,
     /// Requests in progress.
     pub active: Rc<Active>,
+    /// Connections of callers with bytes that wait to be read.
+    pub unwritten: unwritten::Count,
     /// The graceful shutdown, once it has begun.
     pub stop: Rc<Cell<Option<Stop>>>,
 }
@@ -226,7 +229,7 @@
             let sized = socket2::SockRef::from(&socket).set_send_buffer_size(SEND_BUFFER_BYTES);
             sized.map_err(|error| Error::new(Kind::Internal, error.to_string()))?;
         }
-        listen(socket, move |config| {
+        listen(socket, self.unwritten.clone(), move |config| {
             let frontend = frontend.clone();
             config.default_service(web::to(move |request: HttpRequest, payload: web::Payload| {
                 let frontend = frontend.clone();
@@ -238,7 +241,7 @@
     /// Starts a server for the readiness check and requests for addresses.
     pub fn serve_checks(&self, socket: std::net::TcpListener) -> Result<()> {
         let frontend = self.clone();
-        listen(socket, move |config| {
+        listen(socket, self.unwritten.clone(), move |config| {
             let (ready, addresses) = (frontend.clone(), frontend.clone());
             let protocol = &frontend.context.protocol;
             config.route(
@@ -259,8 +262,13 @@
     }
 }
 
-/// Starts an HTTP server on this thread that runs until the process exits.
-pub(super) fn listen<C>(socket: std::net::TcpListener, configure: C) -> Result<()>
+/// Starts an HTTP server on this thread that runs until the process exits; `unwritten` counts
+/// the connections with bytes that wait to be read.
+pub(super) fn listen<C>(
+    socket: std::net::TcpListener,
+    unwritten: unwritten::Count,
+    configure: C,
+) -> Result<()>
 where
     C: Fn(&mut web::ServiceConfig) + Clone + 'static,
 {
@@ -270,13 +278,12 @@
     let factory = HttpService::build()
         .keep_alive(KEEP_ALIVE)
         .h1_allow_half_closed(false)
-        .h1(map_config(app(), |_| AppConfig::default()))
-        .tcp();
+        .h1(map_config(app(), |_| AppConfig::default()));
     actix_rt::spawn(async move {
         let Ok(service) = factory.new_service(()).await else { return };
         let service = Rc::new(service);
         loop {
-            let Ok((stream, _)) = socket.accept().await else {
+            let Ok((stream, peer)) = socket.accept().await else {
                 // Out of file descriptors, or the client has already closed the connection.
                 tokio::time::sleep(ACCEPT_PAUSE).await;
                 continue;
@@ -286,9 +293,10 @@
             // Without it, a caller that vanished is noticed by the kernel's own timeout.
             let _ = socket2::SockRef::from(&stream).set_tcp_user_timeout(Some(UNREAD_TIMEOUT));
             let service = service.clone();
+            let connection = unwritten::Connection::new(stream, unwritten.clone());
             actix_rt::spawn(async move {
                 // An error ends only this connection, for example when the client closes it.
-                let _ = service.call(stream).await;
+                let _ = service.call((connection, Some(peer))).await;
             });
         }
     });
@@ -326,9 +334,9 @@
         Body::Whole(body) if body.len() > SLICE_BYTES => {
             // In slices, so that actix copies no more into its buffer than the caller reads.
             let length = body.len() as u64;
-            let slices = stream::unfold(body, |mut rest| async move {
+            let slices = stream::unfold((body, active), |(mut rest, active)| async move {
                 let slice = rest.split_to(rest.len().min(SLICE_BYTES));
-                (!slice.is_empty()).then_some((Ok::<_, Infallible>(slice), rest))
+                (!slice.is_empty()).then_some((Ok::<_, Infallible>(slice), (rest, active)))
             });
             response.body(SizedStream::new(length, slices.boxed_local()))
         }
--- a/src/serve/internal.rs
+++ b/src/serve/internal.rs
@@ -16,6 +16,7 @@
 use super::gauge;
 use super::jobs::Jobs;
 use super::reader::{self, BODY_PATH, RESULTS_PATH, Reader, SNAPSHOT_PATH};
+use super::unwritten;
 use crate::api::caller::read;
 use crate::error::Result;
 use crate::node::install_metrics;
@@ -40,7 +41,7 @@
     /// Starts the server, which runs until the process exits.
     pub fn serve(self, socket: std::net::TcpListener) -> Result<()> {
         install_metrics();
-        listen(socket, move |config| {
+        listen(socket, unwritten::Count::default(), move |config| {
             let server = self.clone();
             config.default_service(web::to(move |request: HttpRequest, payload: web::Payload| {
                 let server = server.clone();
--- a/src/serve/mod.rs
+++ b/src/serve/mod.rs
@@ -82,4 +82,5 @@
 mod timing;
 mod token;
 mod unread;
+mod unwritten;
 pub mod upstream;
--- a/src/serve/node.rs
+++ b/src/serve/node.rs
@@ -22,6 +22,7 @@
 use super::reader::Reader;
 use super::stop::Stop;
 use super::store::Store;
+use super::unwritten;
 use crate::clock::{Boottime, Clock, Time};
 use crate::emit;
 use crate::error::{Error, Kind, Result};
@@ -115,6 +116,7 @@
         peers: peers.clone(),
         jobs: jobs.clone(),
         active: Rc::default(),
+        unwritten: unwritten::Count::default(),
         stop: Rc::default(),
     };
     frontend.serve_callers(callers.socket)?;
@@ -178,8 +180,7 @@
         self.hand_over_jobs().await;
         let is_marked = self.mark_leaving().await;
         tokio::time::sleep(self.context.now().until(stop.accepts_until)).await;
-        let is_busy = || self.frontend.active.count() > 0 || self.context.paths.is_relaying();
-        while is_busy() && !stop.end.passed(self.context.now()) {
+        while self.is_busy() && !stop.end.passed(self.context.now()) {
             tokio::time::sleep(DRAIN_CHECK_PAUSE).await;
         }
         if hands_over && is_marked {
@@ -190,6 +191,13 @@
         emit!(self.context.log, Event::Stopped, "active" => self.frontend.active.count());
     }
 
+    /// Whether the end of the process would cut an answer, of this VM or of a peer.
+    fn is_busy(&self) -> bool {
+        self.frontend.active.count() > 0
+            || self.frontend.unwritten.get() > 0
+            || self.context.paths.is_relaying()
+    }
+
     /// Hands the jobs over, as far as the store takes them in time.
     async fn hand_over_jobs(&self) {
         if tokio::time::timeout(HAND_OVER_TIMEOUT, self.jobs.hand_over()).await.is_err() {
