--- a/src/serve/protocol.rs
+++ b/src/serve/protocol.rs
@@ -121,7 +121,7 @@
     Absent,
     /// Requests per second that it takes from all VMs together.
     PerSecond(f64),
-    /// It can't be read, or comes from another upstream.
+    /// It can't be read, or comes from another upstream or another time.
     Unknown,
 }
 
@@ -142,6 +142,21 @@
     pub event_stream: bool,
 }
 
+impl Classification {
+    /// A response to another request. It was written at any time before, and says nothing of
+    /// this request, nor of its upstream now, but for `leaving`: who leaves never stays after all.
+    pub fn of_another_request(leaving: bool) -> Self {
+        Self {
+            refused: false,
+            leaving,
+            limit: Limit::Unknown,
+            cold_left_ms: None,
+            matches_request: false,
+            event_stream: false,
+        }
+    }
+}
+
 /// Encoder and decoder of requests, responses and their headers.
 pub trait Protocol {
     /// Parses a request's headers.
--- a/standins/src/platform/replica.rs
+++ b/standins/src/platform/replica.rs
@@ -27,6 +27,8 @@
     Stalled(usize),
     /// Sends the request identifier of another request.
     WrongRequestId,
+    /// Sends a refusal of another request with this status, and then all events.
+    EarlierRefusal(u16),
     /// Sends a second response after the complete one.
     ExtraResponse,
     /// Responds 503 and states that the request wasn't executed.
@@ -296,6 +298,13 @@
         }
         _ => {}
     }
+    if let Behaviour::EarlierRefusal(status) = behaviour {
+        let earlier = format!(
+            "HTTP/1.1 {status} X\r\nparsleybeam-request-id: another\r\n{words}\
+             parsleybeam-not-executed: 1\r\ncontent-length: 0\r\n\r\n"
+        );
+        out.write_all(earlier.as_bytes())?;
+    }
     if let Behaviour::Endless(endless) = behaviour {
         return endless.send(out, request_id, &words);
     }
