--- a/src/serve/path/mod.rs
+++ b/src/serve/path/mod.rs
@@ -39,8 +39,9 @@
 const RECHECK_INTERVAL: Duration = Duration::from_millis(500);
 /// Connect timeout of such a try.
 const RECHECK_TIMEOUT: Duration = Duration::from_millis(300);
-/// Time without bytes after which a tunnel counts as idle.
-const IDLE_AFTER: Duration = Duration::from_secs(1);
+/// Time without bytes after which a tunnel counts as idle: above the silence of a sound upstream
+/// within an answer.
+const IDLE_AFTER: Duration = Duration::from_millis(2_000);
 
 /// Addresses at which peers that reach the upstreams serve tunnels.
 pub type Helpers = Rc<RefCell<Vec<SocketAddr>>>;
