Keep the known results of a job that is evicted during a read (LOST)

Cause: `Cache::listing` noted how many results it knew, read the ones after them, and added those to the job's entry. Other reads had evicted the entry meanwhile, so that a new, empty one took none of them.

Change: what is known before the read and what the read finds make up the listing; the entry takes it unless it has become longer. Each read of a job counts as a use.

--- a/src/serve/jobs/cache.rs
+++ b/src/serve/jobs/cache.rs
@@ -99,41 +99,54 @@
     /// was ever accepted.
     pub async fn listing(&self, job: &str) -> Result<Option<Listing>> {
         let requested = self.context.now();
-        let known = self.entries.borrow().get(job).cloned();
+        let known = self.known(job, requested);
         if let Some(known) = &known
             && (known.listing.is_complete() || !known.read.after(READ_LIFETIME).passed(requested))
         {
             return Ok(Some(known.listing.clone()));
         }
-        let listing = known.map(|known| known.listing);
-        let from = listing.as_ref().map_or(0, |listing| listing.results.len());
-        let Some(update) = self.read_results(job, listing).await? else { return Ok(None) };
+        let known = known.map(|known| known.listing);
+        let Some(read) = self.read_results(job, known.clone()).await? else { return Ok(None) };
+        // The entry may have been evicted or extended meanwhile; what was known stays true.
+        let listing = Listing {
+            results: known
+                .map(|known| known.results)
+                .into_iter()
+                .flatten()
+                .chain(read.results)
+                .collect(),
+            ..read
+        };
+        Ok(Some(self.merge(job, listing, requested)))
+    }
+
+    /// The entry of a job, which counts as used now.
+    fn known(&self, job: &str, now: Time) -> Option<Entry> {
+        let mut entries = self.entries.borrow_mut();
+        let entry = entries.get_mut(job)?;
+        entry.used = now;
+        Some(entry.clone())
+    }
+
+    /// Adds what a read that was sent at `requested` has found; all that is known then.
+    fn merge(&self, job: &str, listing: Listing, requested: Time) -> Listing {
         let mut entries = self.entries.borrow_mut();
         let entry = entries.entry(job.to_owned()).or_default();
-        let Listing { organisation, total, results } = update;
-        entry.listing.organisation = organisation;
-        entry.listing.total = total;
-        for (position, result) in (from..).zip(results) {
-            if position == entry.listing.results.len() {
-                entry.listing.results.push(result);
-            }
+        if listing.results.len() >= entry.listing.results.len() {
+            entry.listing = listing;
         }
         entry.read = entry.read.max(requested);
-        entry.used = requested;
+        entry.used = entry.used.max(requested);
         let listing = entry.listing.clone();
         drop(entries);
         self.evict();
-        Ok(Some(listing))
+        listing
     }
 
     /// Complete listing of a job, if it is cached.
     pub fn complete_listing(&self, job: &str) -> Option<Listing> {
-        let entries = self.entries.borrow();
-        entries
-            .get(job)
-            .map(|entry| &entry.listing)
-            .filter(|listing| listing.is_complete())
-            .cloned()
+        let known = self.known(job, self.context.now())?;
+        Some(known.listing).filter(Listing::is_complete)
     }
 
     /// Reads the results after those already known: from the job's owner if it
