Claim a service's only version by no view older than the stream (ORDER)

Cause: a VM without a record of a stream took the only version that it knew for the stream's, by a view up to 2 s old, before it asked any other VM; other VMs' claims rest on views as old. A version that has joined since may have begun the stream.

Change: other VMs are asked for a record first. A claim counts only once this VM has a view of after the request's arrival, which was after the stream's first event: its own claim if that view knows one version still, another VM's if this VM has read the store from before that VM's last read until now. Replies say what they said, so that older builds read them alike.

--- a/src/serve/origin.rs
+++ b/src/serve/origin.rs
@@ -27,8 +27,8 @@
 /// Time for which versions are remembered. Streams of attempts that last longer aren't resumed
 /// without a record.
 const MEMORY: Duration = Duration::from_secs(600);
-/// Age of the last read up to which its versions are taken as current.
-const MAX_READ_AGE: Duration = Duration::from_secs(2);
+/// Age of the last read up to which other VMs are told what it showed.
+pub const MAX_READ_AGE: Duration = Duration::from_secs(2);
 /// Maximum number of records; the oldest are dropped first.
 const MAX_RECORDS: usize = 65_536;
 
@@ -219,14 +219,22 @@
     }
 
     /// The only version that a service has had since a stream whose attempts last `attempt` can
-    /// have begun that is resumed now; none if there were several or this VM has read the store
-    /// for less time.
+    /// have begun that is resumed at `resumed_at`; none if there were several or this VM has read
+    /// the store for less time. A read before `resumed_at` says nothing of a version that joined
+    /// after it and may have begun the stream.
     pub fn only_version(
         &self,
         service: &Service,
         attempt: Duration,
-        now: Time,
+        resumed_at: Time,
     ) -> Option<&Version> {
+        let (_, last) = self.read?;
+        if last < resumed_at { None } else { self.claim(service, attempt, resumed_at) }
+    }
+
+    /// What this VM tells another one: the only version by its last read, which may be up to
+    /// `MAX_READ_AGE` old.
+    pub fn claim(&self, service: &Service, attempt: Duration, now: Time) -> Option<&Version> {
         let (since, last) = self.read?;
         let lifetime = attempt.saturating_add(RETENTION);
         let is_known = since.after(lifetime).passed(now) && lifetime <= MEMORY;
@@ -238,6 +246,16 @@
         versions.next().is_none().then_some(only)
     }
 
+    /// Whether another VM's claim, asked for at `asked_at`, holds for a stream resumed then: this
+    /// VM has read the store from before the last read of that VM until now, and knows no other
+    /// version.
+    pub fn confirms(&self, claim: &Origin, attempt: Duration, asked_at: Time) -> bool {
+        let covers = self
+            .read
+            .is_some_and(|(since, last)| since.after(MAX_READ_AGE) <= asked_at && last >= asked_at);
+        covers && !self.has_other(claim, attempt, asked_at)
+    }
+
     /// Whether a service has had another version than this one for as long.
     pub fn has_other(&self, origin: &Origin, attempt: Duration, now: Time) -> bool {
         let lifetime = attempt.saturating_add(RETENTION);
--- a/src/serve/resume.rs
+++ b/src/serve/resume.rs
@@ -48,7 +48,7 @@
     let record = context.origins.borrow().get(Stream::from_hash(request.stream), now);
     let versions = context.versions.borrow();
     let attempt = Duration::from_millis(request.attempt_ms);
-    let only = versions.only_version(&request.service.as_str().into(), attempt, now);
+    let only = versions.claim(&request.service.as_str().into(), attempt, now);
     let only_version = only.map_or_else(String::new, |version| version.to_string());
     OriginReply { request_id: request.request_id, record, only_version }
 }
@@ -70,10 +70,12 @@
     peers: &Peers,
     resumed: Resumed<'_>,
 ) -> Option<Origin> {
-    let recorded = context.origins.borrow().origin(resumed.stream, context.now()).cloned();
-    if let Some(origin) = recorded.or_else(|| only_origin(context, resumed)) {
-        return Some(origin);
+    let asked_at = context.now();
+    let recorded = context.origins.borrow().origin(resumed.stream, asked_at).cloned();
+    if recorded.is_some() {
+        return recorded;
     }
+    let mut claim = None;
     for addresses in [peers.replica_addresses(resumed.stream), peers.others()] {
         match peers.ask_origin(resumed, &addresses).await {
             Answer::Recorded(record) => {
@@ -81,24 +83,23 @@
                 context.origins.borrow_mut().merge(std::slice::from_ref(&record), now);
                 return Some(record.origin());
             }
-            // This VM may know of a version that the other one hasn't read yet.
-            Answer::Only(origin) => {
-                let versions = context.versions.borrow();
-                let has_other = versions.has_other(&origin, resumed.attempt, context.now());
-                return (!has_other).then_some(origin);
-            }
+            Answer::Only(origin) => claim = Some(origin),
             Answer::Unknown => {}
         }
     }
-    None
-}
-
-/// The only origin possible for a stream, as far as this VM knows.
-fn only_origin(context: &Context, resumed: Resumed<'_>) -> Option<Origin> {
     let service = resumed.service?;
+    let has_claim = context.versions.borrow().claim(service, resumed.attempt, asked_at).is_some();
+    if !has_claim && claim.is_none() {
+        return None;
+    }
+    // A version that has joined since the claim was true may have begun the stream.
+    if !context.view_since(asked_at).await {
+        return None;
+    }
     let versions = context.versions.borrow();
-    let version = versions.only_version(service, resumed.attempt, context.now())?.clone();
-    Some(Origin { service: service.clone(), version })
+    let only = versions.only_version(service, resumed.attempt, asked_at);
+    let only = only.map(|version| Origin { service: service.clone(), version: version.clone() });
+    only.or(claim.filter(|claim| versions.confirms(claim, resumed.attempt, asked_at)))
 }
 
 /// What other VMs know of a stream.
--- a/tests/serve_origin.rs
+++ b/tests/serve_origin.rs
@@ -102,6 +102,30 @@
     assert_eq!(too_old, None, "the last read is too old");
 }
 
+/// Guards against a stream that a version has begun which joined after the last read.
+#[test]
+fn only_version_none_by_a_read_before_the_stream_was_resumed() {
+    let (mut history, service) = (History::default(), Service::from("text"));
+    observe(&mut history, &[registration("a", "v1")], 0, 40);
+    let after = seconds(40).after(Duration::from_millis(1));
+    assert_eq!(history.only_version(&service, ATTEMPT, after), None);
+    let v1 = Version::from("v1");
+    assert_eq!(history.claim(&service, ATTEMPT, after), Some(&v1), "by the last read it is");
+}
+
+/// Guards against another VM's claim that a version which joined since has made untrue.
+#[test]
+fn claim_of_another_vm_confirmed_by_reads_from_before_it_until_now() {
+    let claim = Origin::of(&registration("a", "v1"));
+    let mut history = History::default();
+    observe(&mut history, &[registration("a", "v1")], 10, 12);
+    assert!(history.confirms(&claim, ATTEMPT, seconds(12)));
+    assert!(!history.confirms(&claim, ATTEMPT, seconds(11)), "its last read may be of before 10");
+    assert!(!history.confirms(&claim, ATTEMPT, seconds(13)), "a version may have joined after 12");
+    observe(&mut history, &[registration("b", "v2")], 13, 13);
+    assert!(!history.confirms(&claim, ATTEMPT, seconds(13)), "one has");
+}
+
 #[test]
 fn only_version_none_while_two_are_remembered() {
     let (mut history, service) = (History::default(), Service::from("text"));
