Resume a stream only at the process that its upstream's entry names (ORDER)

Cause: the version was that of the VM's view, which is up to 0.9 s old and older in an outage, while the connection leads to whoever listens there now.

Change: a stream that has begun is sent only over a connection that was open before the view was read, or whose upstream's entry was read after the connection had been opened and names the same process and version. An upstream registers before it takes requests, so the entry is that of the process at the other end, whatever the view's age. One read of the store for each stream that finds no such connection. While the store can't be asked, an upstream is believed unless a run or connect has failed there since its last first event.

--- a/src/serve/exchange.rs
+++ b/src/serve/exchange.rs
@@ -17,6 +17,7 @@
 use super::configuration::{Configuration, Kind as RouteKind, Route, Tenant};
 use super::context::Context;
 use super::crash::{self, Broken};
+use super::identity::{self, Identity};
 use super::origin::{Origin, Stream};
 use super::peers::Peers;
 use super::protocol::{Head, Metadata, Request};
@@ -36,7 +37,7 @@
 use crate::error::{Error, Kind, Result};
 use crate::id::{Organisation, Service, Upstream, Version};
 use crate::route::Fingerprint;
-use crate::transport::{Failure, Response};
+use crate::transport::{Due, Failure, Response};
 
 /// A response to the caller.
 pub struct Reply {
@@ -302,22 +303,34 @@
             record.at_limit.push(slot.upstream.to_string());
             continue;
         };
+        let opened_by = match admitted.version {
+            Some(_) => match identity::identity(context, &slot).await {
+                Identity::Confirmed(by) => by,
+                Identity::Other => {
+                    slot.record_other();
+                    history.tried.push(slot.upstream.clone());
+                    continue;
+                }
+                Identity::Unreached(failure) => {
+                    record_unsent(history, &slot, failure, record);
+                    continue;
+                }
+            },
+            None => Time::NEVER,
+        };
         record.record_attempt(&slot);
         record.expected_ms = choice.expected_ms;
         let (upstream, request) =
             (slot.upstream.clone(), request(context, admitted, &slot, resume));
-        let due = reading::head(context, admitted, history, send_by);
+        let due = Due { opened_by, ..reading::head(context, admitted, history, send_by) };
         let answer = match context.pool.send(slot.address, request, due).await {
             Ok(answer) => answer,
             Err(Failure::Late) => {
                 slot.record_late();
                 continue;
             }
-            Err(Failure::NotSent(reason)) => {
-                slot.record_failure(&reason);
-                slot.record_gone();
-                record.reason = reason;
-                history.tried.push(upstream);
+            Err(failure @ Failure::NotSent(_)) => {
+                record_unsent(history, &slot, failure, record);
                 continue;
             }
             Err(failure) => {
@@ -407,6 +420,15 @@
     Ok(Some(Reply { status, headers, body: Body::Whole(body) }))
 }
 
+/// Records that no connection to an upstream could be opened.
+fn record_unsent(history: &mut History, slot: &Slot, failure: Failure, record: &mut Record) {
+    let reason = failure.to_string();
+    slot.record_failure(&reason);
+    slot.record_gone();
+    record.reason = reason;
+    history.tried.push(slot.upstream.clone());
+}
+
 /// Records a run that its upstream broke off; an error if the request may not be sent again.
 async fn record_broken_run(
     context: &Rc<Context>,
--- /dev/null
+++ b/src/serve/identity.rs
@@ -0,0 +1,57 @@
+//! Checks that a connection leads to the process that an upstream's entry names.
+//!
+//! An upstream may start again under its identifier and address with another version of its
+//! software, and a stream may go on only at the version that began it. An upstream registers
+//! before it takes requests. So the entry, read once a connection is open, is that of the process
+//! at its other end; an entry read before may be that of an earlier process.
+//!
+//! While the store can't be asked, an upstream is believed to be the same as long as no run or
+//! connect has failed there since its last first event.
+//!
+//! Load: streams that are taken up without an older connection to their upstream, one read of the
+//! store each.
+
+use std::time::Duration;
+
+use super::context::Context;
+use super::origin::Origin;
+use super::reading::CONNECT_TIMEOUT;
+use super::slot::Slot;
+use crate::clock::Time;
+use crate::transport::Failure;
+
+/// Timeout of the read of an entry: the store answers in milliseconds, or in a quarter of a
+/// second when it is slow.
+const READ_TIMEOUT: Duration = Duration::from_millis(300);
+
+/// Which process the connections to an upstream lead to.
+pub(super) enum Identity {
+    /// That of the slot, for connections that were open by this time.
+    Confirmed(Time),
+    /// Another one, or none that is known.
+    Other,
+    /// No connection could be opened.
+    Unreached(Failure),
+}
+
+/// The process at the address of a slot, by the view if it was read after a connection had been
+/// opened, else by the upstream's entry.
+pub(super) async fn identity(context: &Context, slot: &Slot) -> Identity {
+    let confirmed_at = context.view.borrow().confirmed_at;
+    if context.pool.has_idle_opened_by(slot.address, confirmed_at) {
+        return Identity::Confirmed(confirmed_at);
+    }
+    let opened_at = match context.pool.open(slot.address, CONNECT_TIMEOUT).await {
+        Ok(opened_at) => opened_at,
+        Err(failure) => return Identity::Unreached(failure),
+    };
+    let read = context.store.registration(&slot.upstream);
+    let is_same = match tokio::time::timeout(READ_TIMEOUT, read).await {
+        Ok(Ok(Some(entry))) => {
+            entry.process() == slot.process() && Origin::of(&entry) == slot.origin
+        }
+        Ok(Ok(None)) => false,
+        Ok(Err(_)) | Err(_) => !context.table.borrow().has_failed(slot.key),
+    };
+    if is_same { Identity::Confirmed(opened_at) } else { Identity::Other }
+}
--- a/src/serve/mod.rs
+++ b/src/serve/mod.rs
@@ -20,6 +20,7 @@
 //! | ways to upstreams | `path::Links` | `path` |
 //! | order and resumption of streams | `event`, `origin` | `relay`, `peers` |
 //! | items, results, positions | `jobs::Job` | `jobs::Jobs` |
+//! | process that a stream goes on at | `identity` | `exchange`, `transport::Pool` |
 //! | addresses that callers are told | `address` | `frontend` |
 //! | what VMs tell each other unasked | `repeat` | `report` |
 //! | membership and ownership | `member` | `poller` |
@@ -48,6 +49,7 @@
 mod hand_over;
 pub mod held;
 mod hint;
+mod identity;
 pub mod internal;
 pub mod jobs;
 pub mod limit;
--- a/src/serve/purpose.rs
+++ b/src/serve/purpose.rs
@@ -11,6 +11,8 @@
         Shared,
         /// Writes or removes the entry of an entry VM.
         Member,
+        /// Reads the entry of an upstream.
+        Upstream,
         /// Reads the state, results or items of a job.
         JobRead,
         /// Stores a new job, its results or its end.
@@ -40,6 +42,7 @@
         match self {
             Self::Shared => "shared",
             Self::Member => "member",
+            Self::Upstream => "upstream",
             Self::JobRead => "job read",
             Self::JobWrite => "job write",
             Self::TakeOver => "take-over",
--- a/src/serve/reading.rs
+++ b/src/serve/reading.rs
@@ -23,7 +23,7 @@
 
 /// Connect timeout of upstreams: far above the network's delays, and short enough for
 /// another attempt within the latency target.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(120);
+pub(super) const CONNECT_TIMEOUT: Duration = Duration::from_millis(120);
 /// Wait for a response head after which a retryable request goes to another upstream.
 const HEAD_TIMEOUT: Duration = Duration::from_millis(1_200);
 /// Wait for the first event after the head.
@@ -62,6 +62,7 @@
         connect: CONNECT_TIMEOUT,
         head: now.after(HEAD_TIMEOUT).min(admitted.deadline),
         begun: begun(admitted),
+        opened_by: Time::NEVER,
     }
 }
 
--- a/src/serve/slot.rs
+++ b/src/serve/slot.rs
@@ -194,6 +194,12 @@
         }
     }
 
+    /// Records that the request was not sent, as another process has its upstream's identifier.
+    pub fn record_other(&self) {
+        metrics::counter!("serve_sends_kept_back_total", "reason" => "restarted").increment(1);
+        self.context.renewal.record_wanted();
+    }
+
     /// Records that the request was not sent, as connecting took too long.
     pub fn record_late(&self) {
         metrics::counter!("serve_sends_kept_back_total", "reason" => "late").increment(1);
--- a/src/serve/store.rs
+++ b/src/serve/store.rs
@@ -131,6 +131,10 @@
     /// Reads one entry; none if the key doesn't exist.
     fn get(&self, key: &str) -> LocalBoxFuture<'_, Result<Option<Entry>>>;
 
+    /// Reads the entry of an upstream; none if it has none that can be read.
+    fn registration(&self, upstream: &Upstream)
+    -> LocalBoxFuture<'_, Result<Option<Registration>>>;
+
     /// Reads a page of entries under a prefix whose keys come after `after`.
     fn list(&self, prefix: &str, after: &str) -> LocalBoxFuture<'_, Result<Page>>;
 
--- a/src/serve/upstream.rs
+++ b/src/serve/upstream.rs
@@ -440,6 +440,12 @@
         Some(entry.ejected_until)
     }
 
+    /// Whether a run or connect has failed at an upstream since its last first event, at this VM
+    /// or at another one.
+    pub fn has_failed(&self, key: Key) -> bool {
+        self.entries.get(key).is_none_or(|entry| entry.failures > 0 || entry.peer_failures > 0)
+    }
+
     /// Records a first event after this many milliseconds.
     pub fn record_first_event(&mut self, key: Key, first_event_ms: f64) {
         let Some(entry) = self.entries.get_mut(key) else { return };
--- a/src/transport/connection.rs
+++ b/src/transport/connection.rs
@@ -13,7 +13,7 @@
 use super::Failure;
 use super::connector::Connector;
 use super::metered::{Metered, Shared};
-use crate::clock::Clock;
+use crate::clock::{Clock, Time};
 
 /// Maximum size of hyper's read buffer, and so of one head, in bytes. It is allocated for each
 /// connection as its answer fills it; hyper's own maximum is 400 KB.
@@ -24,6 +24,8 @@
     pub sender: SendRequest<Full<Bytes>>,
     /// The VM that it goes through; none if it is direct.
     pub through: Option<SocketAddr>,
+    /// When it was open: the process at its other end had begun to listen by then.
+    pub opened_at: Time,
     /// Bounds of the answer that it carries.
     pub bound: Shared,
     task: JoinHandle<()>,
@@ -38,6 +40,7 @@
         timeout: Duration,
     ) -> Result<Self, Failure> {
         let opened = connector.connect(address, timeout).await.map_err(Failure::NotSent)?;
+        let opened_at = clock.now();
         let bound = Shared::default();
         let stream = Metered { stream: opened.stream, bound: bound.clone(), clock: clock.clone() };
         let (sender, driver) = http1::Builder::new()
@@ -49,7 +52,7 @@
         let task = actix_rt::spawn(async move {
             let _ = driver.await;
         });
-        Ok(Self { sender, task, bound, through: opened.through })
+        Ok(Self { sender, task, bound, opened_at, through: opened.through })
     }
 }
 
--- a/src/transport/pool.rs
+++ b/src/transport/pool.rs
@@ -40,12 +40,14 @@
     pub head: Time,
     /// Maximum time from the first byte of the head to its end.
     pub begun: Duration,
+    /// Time at which the connection must have been open; `Time::NEVER` if any will do.
+    pub opened_by: Time,
 }
 
 impl Due {
     /// Due by `head`, whenever it begins.
     pub fn by(head: Time, connect: Duration) -> Self {
-        Self { send: Time::NEVER, connect, head, begun: Duration::MAX }
+        Self { send: Time::NEVER, connect, head, begun: Duration::MAX, opened_by: Time::NEVER }
     }
 }
 
@@ -54,6 +56,15 @@
     until: Time,
 }
 
+impl Idle {
+    /// Whether a request may be sent over it that needs a connection open at `opened_by`.
+    fn is_usable(&self, opened_by: Time, now: Time) -> bool {
+        !self.until.passed(now)
+            && self.connection.sender.is_ready()
+            && self.connection.opened_at <= opened_by
+    }
+}
+
 /// Pool of idle connections by address.
 pub struct Pool {
     idle: RefCell<HashMap<SocketAddr, Vec<Idle>>>,
@@ -90,7 +101,8 @@
         Rc::new(Self { idle: RefCell::default(), clock, connector })
     }
 
-    /// Sends a request, over an idle connection if there is one.
+    /// Sends a request, over an idle connection if there is one. `Failure::Late` if there is none
+    /// that was open in time.
     pub async fn send(
         self: &Rc<Self>,
         address: SocketAddr,
@@ -98,7 +110,7 @@
         due: Due,
     ) -> Result<Response, Failure> {
         let mut request = request;
-        while let Some(mut connection) = self.take(address) {
+        while let Some(mut connection) = self.take(address, due.opened_by) {
             self.check_time(due)?;
             match self.head(&mut connection, request, due).await {
                 Ok(response) => return Ok(self.response(address, connection, response)),
@@ -107,6 +119,9 @@
                 Err((failure, None)) => return Err(failure),
             }
         }
+        if due.opened_by != Time::NEVER {
+            return Err(Failure::Late);
+        }
         let connecting = Connection::open(&*self.connector, &self.clock, address, due.connect);
         let mut connection = connecting.await?;
         self.check_time(due)?;
@@ -116,6 +131,15 @@
         }
     }
 
+    /// Opens a connection and keeps it idle; when it was open.
+    pub async fn open(&self, address: SocketAddr, timeout: Duration) -> Result<Time, Failure> {
+        let opening = Connection::open(&*self.connector, &self.clock, address, timeout);
+        let connection = opening.await?;
+        let opened_at = connection.opened_at;
+        self.put(address, connection, opened_at.after(IDLE_TIMEOUT.saturating_sub(IDLE_MARGIN)));
+        Ok(opened_at)
+    }
+
     /// Fails if it is too late to send.
     fn check_time(&self, due: Due) -> Result<(), Failure> {
         if due.send.passed(self.clock.now()) { Err(Failure::Late) } else { Ok(()) }
@@ -177,6 +201,13 @@
         self.idle.borrow().get(&address).is_some_and(|connections| !connections.is_empty())
     }
 
+    /// Whether an idle connection to `address` is kept that was open at `by`.
+    pub fn has_idle_opened_by(&self, address: SocketAddr, by: Time) -> bool {
+        let now = self.clock.now();
+        let is_usable = |idle: &Idle| idle.is_usable(by, now);
+        self.idle.borrow().get(&address).is_some_and(|idle| idle.iter().any(is_usable))
+    }
+
     /// Closes all idle connections to `address`.
     pub fn close_idle(&self, address: SocketAddr) {
         self.idle.borrow_mut().remove(&address);
@@ -187,16 +218,14 @@
         self.idle.borrow_mut().clear();
     }
 
-    fn take(&self, address: SocketAddr) -> Option<Connection> {
+    /// The idle connection last used that was open at `opened_by`.
+    fn take(&self, address: SocketAddr, opened_by: Time) -> Option<Connection> {
         let now = self.clock.now();
         let mut idle = self.idle.borrow_mut();
         let connections = idle.get_mut(&address)?;
-        while let Some(Idle { connection, until }) = connections.pop() {
-            if !until.passed(now) && connection.sender.is_ready() {
-                return Some(connection);
-            }
-        }
-        None
+        connections.retain(|idle| idle.is_usable(Time::NEVER, now));
+        let position = connections.iter().rposition(|idle| idle.is_usable(opened_by, now))?;
+        Some(connections.remove(position).connection)
     }
 
     fn put(&self, address: SocketAddr, connection: Connection, until: Time) {
