--- a/src/serve/jobs/job.rs
+++ b/src/serve/jobs/job.rs
@@ -280,7 +280,8 @@
     pub fn remaining_tokens(&self) -> u64 {
         let unfinished = |state: &State| matches!(state, State::Waiting { .. } | State::Running);
         let items = self.spec.items.iter().zip(&self.states);
-        items.filter(|(_, state)| unfinished(state)).map(|(item, _)| item.tokens).sum()
+        let tokens = items.filter(|(_, state)| unfinished(state)).map(|(item, _)| item.tokens);
+        tokens.fold(0, u64::saturating_add)
     }
 
     /// Applies the outcome of an attempt. `max_attempts` limits only the attempts
--- a/src/serve/jobs/manager.rs
+++ b/src/serve/jobs/manager.rs
@@ -173,7 +173,7 @@
             return Ok(());
         }
         let waiting = self.waiting_tokens(&head.organisation, &route.name);
-        if waiting + spec.tokens() <= route.max_waiting_tokens {
+        if waiting.saturating_add(spec.tokens()) <= route.max_waiting_tokens {
             return Ok(());
         }
         let detail = format!(
@@ -195,9 +195,10 @@
                 && pending.route == route
                 && !owned.contains_key(*job)
         });
-        let elsewhere: u64 = elsewhere.map(|(_, pending)| pending.tokens).sum();
+        let elsewhere = elsewhere.map(|(_, pending)| pending.tokens);
         let here = owned.values().filter(|owned| owned.job.head.organisation == organisation);
-        elsewhere + here.map(|owned| owned.job.remaining_tokens()).sum::<u64>()
+        let here = here.map(|owned| owned.job.remaining_tokens());
+        elsewhere.chain(here).fold(0, u64::saturating_add)
     }
 
     /// Starts to run a job whose pending entry names this VM as the owner.
--- a/src/serve/jobs/record.rs
+++ b/src/serve/jobs/record.rs
@@ -82,7 +82,7 @@
 impl Spec {
     /// Sum of the tokens of all items.
     pub fn tokens(&self) -> u64 {
-        self.items.iter().map(|item| item.tokens).sum()
+        self.items.iter().map(|item| item.tokens).fold(0, u64::saturating_add)
     }
 }
 
--- a/src/serve/jobs/takeover.rs
+++ b/src/serve/jobs/takeover.rs
@@ -84,9 +84,21 @@
             return Ok(());
         };
         emit!(self.context.log, Event::JobTaken, "job" => id, "fence" => fence);
-        if let Some(stored) = self.cache.load(id).await? {
-            self.adopt(id, stored, fence);
+        match self.cache.load(id).await? {
+            Some(stored) => self.adopt(id, stored, fence),
+            None => self.remove_pending(id, fence).await?,
         }
         Ok(())
     }
+
+    /// Removes the pending entry of a job that doesn't exist: a job is written with its entry, so
+    /// no VM wrote this one.
+    async fn remove_pending(&self, id: &str, fence: u64) -> Result<()> {
+        let key = pending_key(id);
+        let expected = vec![Expectation { key: key.clone(), version: fence }];
+        let transaction = Transaction { expected, puts: Vec::new(), deletes: vec![key] };
+        self.context.store.commit(transaction).await?;
+        emit!(self.context.log, Event::JobLost, "job" => id, "reason" => "there is no such job");
+        Ok(())
+    }
 }
--- a/src/serve/place.rs
+++ b/src/serve/place.rs
@@ -216,7 +216,7 @@
 /// Number of free slots at the upstreams of a service that take items.
 fn free_slots(table: &Table, service: &Service, now: Time) -> u32 {
     let usable = table.of_service(service).filter(|(_, entry)| takes_items(entry, now));
-    usable.map(|(_, entry)| entry.free_slots()).sum()
+    usable.map(|(_, entry)| entry.free_slots()).fold(0, u32::saturating_add)
 }
 
 /// Selects an upstream for a batch item: one with a free slot at which it is this
--- a/src/serve/poller.rs
+++ b/src/serve/poller.rs
@@ -14,7 +14,7 @@
 use super::peers::Peers;
 use super::rate::{CREDIT_INTERVAL, Predecessor};
 use super::reader::Reader;
-use super::store::{Commit, Expectation, Snapshot, Transaction};
+use super::store::{Commit, Expectation, Snapshot, Transaction, Unreadable};
 use crate::clock::Time;
 use crate::emit;
 use crate::error::Result;
@@ -51,6 +51,8 @@
     predecessor: Predecessor,
     /// When a process of this VM last began with a credit, as a Unix time in milliseconds.
     credited_unix_ms: u64,
+    /// Keys and versions of the entries that can't be read.
+    unreadable: HashMap<String, u64>,
     /// Whether entries are being written.
     maintaining: bool,
     unreachable: bool,
@@ -134,14 +136,13 @@
             emit!(self.context.log, Event::PlatformBack,
                 "took_ms" => sent_at.until(now).as_millis() as u64);
         }
-        for reason in &snapshot.unreadable {
-            emit!(self.context.log, Event::EntryUnreadable, "reason" => reason.as_str());
-        }
         self.apply_upstreams(&snapshot, sent_at, now);
         self.apply_configuration(&snapshot);
         self.context.apply_cold(&snapshot, sent_at);
         self.context.apply_evacuations(&snapshot, sent_at);
-        self.apply_shared(&snapshot.shared, sent_at, now);
+        let mut unreadable = snapshot.unreadable.clone();
+        unreadable.extend(self.apply_shared(&snapshot.shared, sent_at, now));
+        self.log_unreadable(unreadable);
         self.peers.recount();
         self.jobs.reconcile(sent_at);
         self.peers.request_releases();
@@ -223,15 +224,29 @@
             "before" => current.unwrap_or(0));
     }
 
-    fn apply_shared(&self, entries: &[Entry], sent_at: Time, now: Time) {
+    /// Logs entries that can't be read, each version of one once.
+    fn log_unreadable(&self, entries: Vec<Unreadable>) {
+        let mut state = self.state.borrow_mut();
+        let known = std::mem::take(&mut state.unreadable);
+        for Unreadable { key, version, reason } in entries {
+            if known.get(&key) != Some(&version) {
+                emit!(self.context.log, Event::EntryUnreadable, "key" => key.as_str(),
+                    "reason" => reason);
+            }
+            state.unreadable.insert(key, version);
+        }
+    }
+
+    /// Applies the fleet's own entries; those that can't be read.
+    fn apply_shared(&self, entries: &[Entry], sent_at: Time, now: Time) -> Vec<Unreadable> {
+        let mut unreadable = Vec::new();
         let mut members = Vec::new();
         let mut pending = HashMap::new();
         for entry in entries {
             if entry.key.starts_with(MEMBER_PREFIX) {
                 match Member::decode(entry) {
                     Ok(member) => members.push(member::Listed { member, version: entry.version }),
-                    Err(error) => emit!(self.context.log, Event::EntryUnreadable,
-                        "reason" => error.detail.as_str()),
+                    Err(error) => unreadable.push(Unreadable::new(entry, error.detail)),
                 }
             } else if let Some(job) = entry.key.strip_prefix(PENDING_PREFIX) {
                 match prost::Message::decode(entry.value.as_slice()) {
@@ -239,8 +254,7 @@
                         let read: Pending = read;
                         pending.insert(job.to_owned(), (read, entry.version));
                     }
-                    Err(error) => emit!(self.context.log, Event::EntryUnreadable,
-                        "reason" => format!("{}: {error}", entry.key)),
+                    Err(error) => unreadable.push(Unreadable::new(entry, error.to_string())),
                 }
             }
         }
@@ -275,6 +289,7 @@
         if state.registered {
             self.update_limiter(state.predecessor, sent_at, now);
         }
+        unreadable
     }
 
     /// Applies the members' list to the rate limiter. A VM that stops lets go of its buckets
--- a/src/serve/store.rs
+++ b/src/serve/store.rs
@@ -65,8 +65,26 @@
     pub retirements: Vec<Retirement>,
     /// The fleet's own entries, not decoded: members and open jobs.
     pub shared: Vec<Entry>,
-    /// Reasons why entries could not be decoded.
-    pub unreadable: Vec<String>,
+    /// Entries that could not be decoded.
+    pub unreadable: Vec<Unreadable>,
+}
+
+/// An entry that can't be decoded.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Unreadable {
+    /// Key in the store.
+    pub key: String,
+    /// Version in the store.
+    pub version: u64,
+    /// Why it can't be decoded.
+    pub reason: String,
+}
+
+impl Unreadable {
+    /// The entry, with the reason why it can't be decoded.
+    pub fn new(entry: &Entry, reason: String) -> Self {
+        Self { key: entry.key.clone(), version: entry.version, reason }
+    }
 }
 
 /// Precondition of a transaction: a key and the version it must have.
--- a/standins/src/platform/store.rs
+++ b/standins/src/platform/store.rs
@@ -20,6 +20,9 @@
 /// Maximum number of items in one page of a range.
 const PAGE_ITEMS: usize = 500;
 
+/// Size of a page with several items, in bytes.
+const PAGE_BYTES: usize = 1 << 20;
+
 /// A stored key and its value, in base64.
 #[derive(Clone, Debug, Serialize)]
 pub struct Item {
@@ -152,8 +155,15 @@
         .values()
         .filter(|item| item.key.starts_with(&query.path_prefix) && item.key > query.after)
         .collect();
-    let more = matching.len() > PAGE_ITEMS;
-    let items: Vec<&Item> = matching.into_iter().take(PAGE_ITEMS).collect();
+    let mut bytes = 0;
+    let fits = |item: &&Item| {
+        let is_first = bytes == 0;
+        bytes += item.key.len() + item.value.len();
+        is_first || bytes <= PAGE_BYTES
+    };
+    let count = matching.len();
+    let items: Vec<&Item> = matching.into_iter().take(PAGE_ITEMS).take_while(fits).collect();
+    let more = count > items.len();
     HttpResponse::Ok()
         .json(json!({ "items": items, "has_more": more, "store_revision": keys.revision }))
 }
