--- a/src/event/catalogue.rs
+++ b/src/event/catalogue.rs
@@ -102,8 +102,8 @@
     713 ItemInterrupted Info "item preempted by online requests";
     714 ResultsStored Info "results of items stored";
     715 ItemStartedOver Info "item starts over: no upstream of its version has room";
-    716 ResultsRefused Info "the store refused a write of results";
     717 ItemFailureStored Info "number of failed attempts of an item stored";
+    718 ResultsRefused Info "the store refused a write of results";
 
     801 OrderSent Info "order sent to upstream";
     802 OrderRefused Warning "order rejected by upstream";
--- a/src/serve/identity.rs
+++ b/src/serve/identity.rs
@@ -51,7 +51,14 @@
             entry.process() == slot.process() && Origin::of(&entry) == slot.origin
         }
         Ok(Ok(None)) => false,
-        Ok(Err(_)) | Err(_) => !context.table.borrow().has_failed(slot.key),
+        Ok(Err(_)) | Err(_) => !has_failed(context, slot),
     };
     if is_same { Identity::Confirmed(opened_at) } else { Identity::Other }
 }
+
+/// Whether a run or connect has failed at the upstream since its last first event, here or at
+/// another VM.
+fn has_failed(context: &Context, slot: &Slot) -> bool {
+    let table = context.table.borrow();
+    table.get(slot.key).is_none_or(|entry| entry.failures > 0 || entry.peer_failures > 0)
+}
--- a/src/serve/jobs/calls.rs
+++ b/src/serve/jobs/calls.rs
@@ -6,6 +6,7 @@
 
 use bytes::Bytes;
 use http::StatusCode;
+use http::uri::PathAndQuery;
 
 use super::manager::{Jobs, unix_ms};
 use super::record::{Head, ItemResult};
@@ -52,6 +53,10 @@
             let detail = format!("a job has 1 to {MAX_ITEMS} items with names of their own");
             return Err(Error::new(Kind::Malformed, detail));
         }
+        if let Some(item) = items.iter().find(|item| !is_path(&item.path)) {
+            let detail = format!("item {} has no valid path", item.id);
+            return Err(Error::new(Kind::Malformed, detail));
+        }
         if self.context.stopping.get() {
             let detail = "this VM is leaving; use another one";
             return Err(Error::new(Kind::Leaving, detail).retry_after(STORE_RETRY_AFTER));
@@ -195,6 +200,11 @@
     }
 }
 
+/// Whether a request can be sent to a path as it stands.
+fn is_path(path: &str) -> bool {
+    path.starts_with('/') && path.parse::<PathAndQuery>().is_ok()
+}
+
 fn unknown_job(job: &str) -> Error {
     Error::new(Kind::NotFound, format!("there is no job {job}"))
 }
--- a/src/serve/upstream.rs
+++ b/src/serve/upstream.rs
@@ -102,7 +102,8 @@
     pub closed_to_items_until: Time,
     /// Moving average of the time to the first event, in milliseconds.
     pub first_event_ms: f64,
-    failures: u32,
+    /// Failures at this VM since its last first event.
+    pub failures: u32,
     /// Whether its entry is missing and it is kept for a while.
     is_missing: bool,
 }
@@ -440,12 +441,6 @@
         Some(entry.ejected_until)
     }
 
-    /// Whether a run or connect has failed at an upstream since its last first event, at this VM
-    /// or at another one.
-    pub fn has_failed(&self, key: Key) -> bool {
-        self.entries.get(key).is_none_or(|entry| entry.failures > 0 || entry.peer_failures > 0)
-    }
-
     /// Records a first event after this many milliseconds.
     pub fn record_first_event(&mut self, key: Key, first_event_ms: f64) {
         let Some(entry) = self.entries.get_mut(key) else { return };
