--- a/standins/src/soak/site.rs
+++ b/standins/src/soak/site.rs
@@ -268,22 +268,28 @@
         })
     }
 
-    /// Reads the results of all accepted jobs until they are complete, or until `deadline`.
+    /// Reads the results of all accepted jobs at every VM until they are complete there, or until
+    /// `deadline`.
     pub fn check_jobs(&mut self, deadline: Instant) {
         let accepted: Vec<String> = self.ledger.lock().jobs.keys().cloned().collect();
         for job in accepted {
-            let total = loop {
-                let key = self.key.lock().clone();
-                let page = super::callers::read_job(self.callers[0], &job, &key, &self.ledger);
-                match page {
-                    Some((total, count)) if total == count || Instant::now() > deadline => {
-                        break total;
-                    }
-                    None if Instant::now() > deadline => break usize::MAX,
-                    _ => self.run_until(Instant::now() + super::RECOVERY_POLL_INTERVAL),
-                }
-            };
-            self.ledger.lock().check_finished(&job, total);
+            for vm in self.callers.clone() {
+                let total = self.read_to_end(vm, &job, deadline);
+                self.ledger.lock().check_finished(&job, total);
+            }
+        }
+    }
+
+    /// Reads a job at a VM until all its results are there; the number of its items.
+    fn read_to_end(&mut self, vm: SocketAddr, job: &str, deadline: Instant) -> usize {
+        loop {
+            let key = self.key.lock().clone();
+            match super::callers::read_job(vm, job, &key, &self.ledger) {
+                Some((total, count)) if total == count => return total,
+                // Results are missing here, whatever another VM has shown.
+                _ if Instant::now() > deadline => return usize::MAX,
+                _ => self.run_until(Instant::now() + super::RECOVERY_POLL_INTERVAL),
+            }
         }
     }
 
