--- a/src/serve/identity.rs
+++ b/src/serve/identity.rs
@@ -1,9 +1,9 @@
 //! Checks that a connection leads to the process that an upstream's entry names.
 //!
 //! An upstream may start again under its identifier and address with another version of its
-//! software, and a stream or an item's output may go on only at the version that began it. An upstream registers
-//! before it takes requests. So the entry, read once a connection is open, is that of the process
-//! at its other end; an entry read before may be that of an earlier process.
+//! software, and a stream or an item's output may go on only at the version that began it. An
+//! upstream registers before it takes requests. So the entry, read once a connection is open, is
+//! that of the process at its other end; an entry read before may be that of an earlier process.
 //!
 //! While the store can't be asked, an upstream is believed to be the same as long as no run or
 //! connect has failed there since its last first event.
--- a/src/serve/jobs/results.rs
+++ b/src/serve/jobs/results.rs
@@ -1,11 +1,11 @@
 //! Stores the results of the jobs that this VM owns.
 //!
 //! One task a tenure: a job that is lost and taken over again by the same VM has another fence,
-//! and another task. A write is conditional on the fence. A write that is refused while the pending entry still
-//! has the fence was applied earlier and its answer lost, since nobody else can write then.
-//! Once the entry has another version, or is gone, nothing that this VM holds says what the store
-//! has: another owner may have stored equal results in another order. The job is dropped then,
-//! and read from the store like any other VM's.
+//! and another task. A write is conditional on the fence. A write that is refused while the
+//! pending entry still has the fence was applied earlier and its answer lost, since nobody else
+//! can write then. Once the entry has another version, or is gone, nothing that this VM holds
+//! says what the store has: another owner may have stored equal results in another order. The
+//! job is dropped then, and read from the store like any other VM's.
 
 use std::rc::Rc;
 use std::time::Duration;
