Verify an upstream's process over a connection that is there already

What counts is that the entry is read after the connection was open: so one that is kept serves, whenever it was opened, and a new one is kept once it is ready.

`restarted` (4 tests), `versions` (9) and `online` (19) pass.

--- a/src/serve/identity.rs
+++ b/src/serve/identity.rs
@@ -41,10 +41,11 @@
     if context.pool.has_idle_opened_by(slot.address, confirmed_at) {
         return Identity::Confirmed(confirmed_at);
     }
-    let opened_at = match context.pool.open(slot.address, CONNECT_TIMEOUT).await {
-        Ok(opened_at) => opened_at,
-        Err(failure) => return Identity::Unreached(failure),
-    };
+    let is_open = context.pool.has_idle_opened_by(slot.address, context.now());
+    if !is_open && let Err(failure) = context.pool.open(slot.address, CONNECT_TIMEOUT).await {
+        return Identity::Unreached(failure);
+    }
+    let asked_at = context.now();
     let read = context.store.registration(&slot.upstream);
     let is_same = match tokio::time::timeout(READ_TIMEOUT, read).await {
         Ok(Ok(Some(entry))) => {
@@ -53,7 +54,7 @@
         Ok(Ok(None)) => false,
         Ok(Err(_)) | Err(_) => !has_failed(context, slot),
     };
-    if is_same { Identity::Confirmed(opened_at) } else { Identity::Other }
+    if is_same { Identity::Confirmed(asked_at) } else { Identity::Other }
 }
 
 /// Whether a run or connect has failed at the upstream since its last first event, here or at
--- a/src/transport/pool.rs
+++ b/src/transport/pool.rs
@@ -131,13 +131,16 @@
         }
     }
 
-    /// Opens a connection and keeps it idle; when it was open.
-    pub async fn open(&self, address: SocketAddr, timeout: Duration) -> Result<Time, Failure> {
+    /// Opens a connection and keeps it idle.
+    pub async fn open(&self, address: SocketAddr, timeout: Duration) -> Result<(), Failure> {
         let opening = Connection::open(&*self.connector, &self.clock, address, timeout);
-        let connection = opening.await?;
-        let opened_at = connection.opened_at;
-        self.put(address, connection, opened_at.after(IDLE_TIMEOUT.saturating_sub(IDLE_MARGIN)));
-        Ok(opened_at)
+        let mut connection = opening.await?;
+        // Until its task has run for the first time, it would be taken for a closed one.
+        let ready = connection.sender.ready().await;
+        ready.map_err(|error| Failure::NotSent(error.to_string()))?;
+        let until = connection.opened_at.after(IDLE_TIMEOUT.saturating_sub(IDLE_MARGIN));
+        self.put(address, connection, until);
+        Ok(())
     }
 
     /// Fails if it is too late to send.
