Check items that go on without the store, and ask no store that is away

Cause, by reading: an item whose upstream couldn't be confirmed was tried again every 30 ms, for as long as the store was away or its upstream failed, each time with a connection, a call to the store, and a wish for a read of all shared entries that passed the pause after failed reads.

Change: an item goes on unless a run or connect has failed at its upstream since the view was read, which needs no call; if one has, it backs off as after a broken run. A stream asks no store whose last answer is 1.5 s old, and nobody asks for a read of all entries because of it.

Tests: `restarted` (4, one on items), `versions` (9), `jobs` (18) pass.

--- a/src/serve/identity.rs
+++ b/src/serve/identity.rs
@@ -1,15 +1,15 @@
 //! Checks that a connection leads to the process that an upstream's entry names.
 //!
 //! An upstream may start again under its identifier and address with another version of its
-//! software, and a stream or an item's output may go on only at the version that began it. An
-//! upstream registers before it takes requests. So the entry, read once a connection is open, is
-//! that of the process at its other end; an entry read before may be that of an earlier process.
+//! software, and a stream may go on only at the version that began it. An upstream registers
+//! before it takes requests. So the entry, read once a connection is open, is that of the process
+//! at its other end; an entry read before may be that of an earlier process.
 //!
 //! While the store can't be asked, an upstream is believed to be the same as long as no run or
 //! connect has failed there since its last first event.
 //!
-//! Load: streams and items that go on without an older connection to their upstream, one read of
-//! the store each.
+//! Load: streams that go on without an older connection to their upstream, one read of the store
+//! each, and none while it is away. Items go on far more often, and by `Slot::may_be_another`.
 
 use std::time::Duration;
 
@@ -24,6 +24,9 @@
 /// second when it is slow.
 const READ_TIMEOUT: Duration = Duration::from_millis(300);
 
+/// Age of the view from which on the store isn't asked: it is away, or this VM can't reach it.
+const STORE_AWAY: Duration = Duration::from_millis(1_500);
+
 /// Which process the connections to an upstream lead to.
 pub(super) enum Identity {
     /// That of the slot, for connections that were open by this time.
@@ -41,25 +44,28 @@
     if context.pool.has_idle_opened_by(slot.address, confirmed_at) {
         return Identity::Confirmed(confirmed_at);
     }
+    if confirmed_at.after(STORE_AWAY).passed(context.now()) {
+        return believed(context, slot);
+    }
     let is_open = context.pool.has_idle_opened_by(slot.address, context.now());
     if !is_open && let Err(failure) = context.pool.open(slot.address, CONNECT_TIMEOUT).await {
         return Identity::Unreached(failure);
     }
     let asked_at = context.now();
     let read = context.store.registration(&slot.upstream);
-    let is_same = match tokio::time::timeout(READ_TIMEOUT, read).await {
-        Ok(Ok(Some(entry))) => {
-            entry.process() == slot.process() && Origin::of(&entry) == slot.origin
-        }
-        Ok(Ok(None)) => false,
-        Ok(Err(_)) | Err(_) => !has_failed(context, slot),
+    let Ok(Ok(entry)) = tokio::time::timeout(READ_TIMEOUT, read).await else {
+        return believed(context, slot);
     };
+    let is_same = entry.is_some_and(|entry| {
+        entry.process() == slot.process() && Origin::of(&entry) == slot.origin
+    });
     if is_same { Identity::Confirmed(asked_at) } else { Identity::Other }
 }
 
-/// Whether a run or connect has failed at the upstream since its last first event, here or at
-/// another VM.
-fn has_failed(context: &Context, slot: &Slot) -> bool {
+/// The process that is believed to be there while the store can't be asked.
+fn believed(context: &Context, slot: &Slot) -> Identity {
     let table = context.table.borrow();
-    table.get(slot.key).is_none_or(|entry| entry.failures > 0 || entry.peer_failures > 0)
+    let has_failed =
+        table.get(slot.key).is_none_or(|entry| entry.failures > 0 || entry.peer_failures > 0);
+    if has_failed { Identity::Other } else { Identity::Confirmed(Time::NEVER) }
 }
--- a/src/serve/jobs/run.rs
+++ b/src/serve/jobs/run.rs
@@ -8,17 +8,15 @@
 use tokio::sync::Notify;
 
 use super::record::{Head, Item};
-use crate::clock::Time;
 use crate::id::Organisation;
 use crate::serve::context::Context;
 use crate::serve::crash;
 use crate::serve::event::Decoder;
-use crate::serve::identity::{Identity, identity};
 use crate::serve::origin::Origin;
 use crate::serve::protocol::Metadata;
 use crate::serve::reading;
 use crate::serve::slot::Slot;
-use crate::transport::{Due, Failure, Response};
+use crate::transport::{Failure, Response};
 
 /// Maximum size of an item's output, in bytes.
 const MAX_OUTPUT_BYTES: usize = 8 << 20;
@@ -145,26 +143,23 @@
     async fn run(&mut self) -> End {
         let Some(send_by) = self.slot.admit().await else { return End::AtLimit };
         // Partial output goes on only at the version that made it.
-        let opened_by = match &self.progress.origin {
-            Some(_) => match identity(self.context, &self.slot).await {
-                Identity::Confirmed(by) => by,
-                Identity::Other => {
-                    self.slot.record_other();
-                    return End::AtLimit;
-                }
-                Identity::Unreached(failure) => return self.report_unsent(&failure),
-            },
-            None => Time::NEVER,
-        };
+        if self.progress.origin.is_some() && self.slot.may_be_another() {
+            self.slot.record_other();
+            return End::Broken;
+        }
         self.slot.record_sent();
-        let due = Due { opened_by, ..reading::item_head(send_by, self.context.now()) };
+        let due = reading::item_head(send_by, self.context.now());
         let answer = match self.context.pool.send(self.slot.address, self.request(), due).await {
             Ok(answer) => answer,
             Err(Failure::Late) => {
                 self.slot.record_late();
                 return End::AtLimit;
             }
-            Err(failure @ Failure::NotSent(_)) => return self.report_unsent(&failure),
+            Err(failure @ Failure::NotSent(_)) => {
+                self.slot.record_failure(&failure.to_string());
+                self.slot.record_gone();
+                return End::Broken;
+            }
             Err(failure) => return self.report_failure(&failure).await,
         };
         let verdict = self.context.protocol.classify(answer.status, &answer.headers, &self.item.id);
@@ -228,12 +223,6 @@
         }
     }
 
-    fn report_unsent(&self, failure: &Failure) -> End {
-        self.slot.record_failure(&failure.to_string());
-        self.slot.record_gone();
-        End::Broken
-    }
-
     async fn report_failure(&self, failure: &Failure) -> End {
         reading::record(&self.slot, &self.item.id, failure);
         self.slot.record_failure(&failure.to_string());
--- a/src/serve/slot.rs
+++ b/src/serve/slot.rs
@@ -197,7 +197,14 @@
     /// Records that the request was not sent, as another process has its upstream's identifier.
     pub fn record_other(&self) {
         metrics::counter!("serve_sends_kept_back_total", "reason" => "restarted").increment(1);
-        self.context.renewal.record_wanted();
+    }
+
+    /// Whether a run or connect has failed at the upstream since the view of it was read: another
+    /// process may have taken its place.
+    pub fn may_be_another(&self) -> bool {
+        let confirmed_at = self.context.view.borrow().confirmed_at;
+        let table = self.context.table.borrow();
+        table.get(self.key).is_none_or(|entry| entry.failed_at > confirmed_at)
     }
 
     /// Records that the request was not sent, as connecting took too long.
--- a/src/serve/upstream.rs
+++ b/src/serve/upstream.rs
@@ -104,6 +104,8 @@
     pub first_event_ms: f64,
     /// Failures at this VM since its last first event.
     pub failures: u32,
+    /// When it last failed at this VM.
+    pub failed_at: Time,
     /// Whether its entry is missing and it is kept for a while.
     is_missing: bool,
 }
@@ -126,6 +128,7 @@
             closed_to_items_until: Time(0),
             first_event_ms: 0.0,
             failures: 0,
+            failed_at: Time(0),
             is_missing: false,
         }
     }
@@ -437,6 +440,7 @@
         let entry = self.entries.get_mut(key)?;
         let span = EJECTION.saturating_mul(1 << entry.failures.min(4)).min(MAX_EJECTION);
         entry.failures += 1;
+        entry.failed_at = now;
         entry.ejected_until = entry.ejected_until.max(now.after(span));
         Some(entry.ejected_until)
     }
