Add review case 8: streams go on at another version while the store is down

The last two replicas of v1 crash 4.3 s apart; the first is back under its identifier with v2 while the store is down.

--- a/review/cases-2.rs
+++ b/review/cases-2.rs
@@ -7,6 +7,7 @@
     let broken = match case {
         "cut-stream" => cut_stream(folder, record, trouble),
         "cut-item" => cut_item(folder, record, trouble),
+        "two-versions" => two_versions(folder, record, trouble),
         "crashing-part" => crashing_part(folder, record, "chunked", trouble),
         "crashing-unframed" => crashing_part(folder, record, "close", trouble),
         _ => return 2,
@@ -31,7 +32,7 @@
 /// A replica is killed while it writes streams that end with their connections.
 fn cut_stream(folder: &Path, record: &Path, trouble: bool) -> bool {
     const STREAMS: usize = 36;
-    let shape = Shape { framing: "close", events: 36, prefill_ms: 60, gap_ms: 50, bad: "" };
+    let shape = Shape { framing: "close", events: 36, prefill_ms: 60, gap_ms: 50, bad: "", old: 9 };
     let mut site = Site::start(folder, record, shape, 9, 3);
     let answers = Arc::new(Mutex::new(Vec::new()));
     let mut clients = Vec::new();
@@ -76,7 +77,7 @@
 fn cut_item(folder: &Path, record: &Path, trouble: bool) -> bool {
     const JOBS: usize = 4;
     const ITEMS: usize = 10;
-    let shape = Shape { framing: "close", events: 40, prefill_ms: 400, gap_ms: 50, bad: "" };
+    let shape = Shape { framing: "close", events: 40, prefill_ms: 400, gap_ms: 50, bad: "", old: 9 };
     let mut site = Site::start(folder, record, shape, 9, 3);
     let bearer = format!("Bearer {KEY}");
     let headers = [("Authorization", bearer.as_str()), ("Content-Type", "application/json")];
@@ -88,8 +89,7 @@
     if trouble {
         thread::sleep(Duration::from_millis(1_400));
         site.kill_replica(0);
-        thread::sleep(Duration::from_millis(550));
-        let next = most_resumed(&site);
+        let next = next_to_crash(&site);
         site.kill_replica(next);
         thread::sleep(Duration::from_secs(2));
         site.reboot(0);
@@ -128,22 +128,37 @@
     call(caller, "POST", &target, &headers, body.as_bytes(), Duration::from_secs(4)).status
 }
 
-/// The replica, other than the first, at which most items go on that others began, and have
-/// no event there yet.
-fn most_resumed(site: &Site) -> usize {
-    let lines = site.replica_lines();
-    let waits = |replica: &Replica| {
-        let place = format!(" at {}", replica.id);
-        let runs = lines.iter().filter(|(_, line)| {
-            line.starts_with("runs ") && line.contains(&place) && !line.ends_with(" after 0")
-        });
-        let has_event = |id: &str| {
-            let stem = format!(" of {id}{place}");
-            lines.iter().any(|(_, line)| line.starts_with("event ") && line.ends_with(&stem))
-        };
-        runs.filter(|(_, line)| line.split(' ').nth(1).is_some_and(|id| !has_event(id))).count()
+/// Waits until items go on elsewhere that the killed replica began; a replica that reads the
+/// prompt of one.
+fn next_to_crash(site: &Site) -> usize {
+    let until = Instant::now() + Duration::from_secs(4);
+    while Instant::now() < until {
+        // A moment, so that more of them may have come to a replica.
+        thread::sleep(Duration::from_millis(60));
+        let most = (1..site.replicas.len()).map(|index| (resumed(site, index), index)).max();
+        if let Some((count, index)) = most
+            && count > 0
+        {
+            return index;
+        }
+    }
+    1
+}
+
+/// Number of items that go on at a replica after an event of another run, and have no event
+/// there yet.
+fn resumed(site: &Site, index: usize) -> usize {
+    let replica = &site.replicas[index];
+    let text = std::fs::read_to_string(&replica.log).unwrap_or_default();
+    let has_event = |id: &str| {
+        let stem = format!(" of {id} at ");
+        text.lines().any(|line| line.contains(" event ") && line.contains(&stem))
     };
-    (1..site.replicas.len()).max_by_key(|index| waits(&site.replicas[*index])).unwrap_or(1)
+    // Runs that only ask for an end have nothing left to send.
+    let whole = format!(" after {}", site.shape.events);
+    let goes_on = |line: &&str| !line.ends_with(" after 0") && !line.ends_with(&whole);
+    let runs = text.lines().filter(|line| line.contains(" runs ")).filter(goes_on);
+    runs.filter(|line| line.split(' ').nth(2).is_some_and(|id| !has_event(id))).count()
 }
 
 /// Whether an item is listed as completed without its whole output.
@@ -186,7 +201,7 @@
     const REPLICAS: usize = 9;
     let is_framed = framing == "chunked";
     let bad = if trouble || is_framed { BAD } else { "" };
-    let shape = Shape { framing, events: 10, prefill_ms: 40, gap_ms: 20, bad };
+    let shape = Shape { framing, events: 10, prefill_ms: 40, gap_ms: 20, bad, old: 9 };
     let mut site = Site::start(folder, record, shape, REPLICAS, 3);
     let mut number = 0;
     let mut send = |site: &mut Site, is_bad: bool| {
@@ -252,3 +267,68 @@
     (crashes, runs.iter().filter(|at| **at > bound).count())
 }
 
+
+/// While the store is down, a replica is back under its identifier with another version of its
+/// software, and another replica crashes.
+fn two_versions(folder: &Path, record: &Path, trouble: bool) -> bool {
+    let shape = Shape { framing: "chunked", events: 36, prefill_ms: 60, gap_ms: 70, bad: "", old: 2 };
+    let mut site = Site::start(folder, record, shape, 9, 2);
+    let answers = Arc::new(Mutex::new(Vec::new()));
+    let mut clients = Vec::new();
+    let mut play = |site: &Site, span: Duration| {
+        let until = Instant::now() + span;
+        while Instant::now() < until {
+            let number = clients.len();
+            let id = format!("c0de{number:012x}");
+            let caller = site.vms[number % 2].caller;
+            let answers = answers.clone();
+            clients.push(thread::spawn(move || {
+                let prompt = format!("a1:100,b{}:100,d{number:x}:250", number % 4);
+                let answer = ask(caller, "notes", &id, &prompt);
+                answers.lock().expect("no panic").push((id, answer));
+            }));
+            thread::sleep(Duration::from_millis(50));
+        }
+    };
+    play(&site, Duration::from_secs(3));
+    if trouble {
+        site.kill_replica(0);
+    }
+    play(&site, Duration::from_millis(1_000));
+    if trouble {
+        site.store.is_down.store(true, Ordering::SeqCst);
+        site.note("the store is down");
+        site.reboot_as(0, "v2");
+    }
+    play(&site, Duration::from_millis(3_300));
+    if trouble {
+        site.kill_replica(1);
+    }
+    play(&site, Duration::from_millis(1_200));
+    if trouble {
+        site.store.is_down.store(false, Ordering::SeqCst);
+        site.note("the store is back");
+    }
+    play(&site, Duration::from_millis(500));
+    for client in clients {
+        client.join().expect("a client ends");
+    }
+    let mut broken = 0;
+    for (id, answer) in answers.lock().expect("no panic").iter() {
+        let text = answer.text();
+        let events = || text.lines().filter(|line| line.starts_with("data: "));
+        let later = events().filter(|line| line.ends_with(LATER)).count();
+        let is_mixed = later > 0 && later < events().count();
+        broken += usize::from(is_mixed);
+        site.note(&format!(
+            "{id} was answered {}, {} events, {later} of them by v2, {}{}",
+            answer.status,
+            events().count(),
+            if answer.complete { "complete" } else { "broken off" },
+            if is_mixed { ": HOLDS EVENTS OF TWO VERSIONS" } else { "" }
+        ));
+    }
+    site.note_replicas();
+    site.note(&format!("{broken} streams hold events of two versions; more than two break the rule"));
+    broken > 2
+}
--- a/review/standin-2.rs
+++ b/review/standin-2.rs
@@ -11,7 +11,7 @@
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
-use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, OnceLock};
 use std::thread;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
@@ -447,6 +447,8 @@
 struct Store {
     address: SocketAddr,
     keys: Arc<Mutex<Keys>>,
+    /// Whether it answers each call with 503: nothing was done.
+    is_down: Arc<AtomicBool>,
 }
 
 impl Store {
@@ -454,14 +456,16 @@
         let listener = TcpListener::bind(("127.0.0.1", 0)).expect("the store listens");
         let address = listener.local_addr().expect("an address");
         let keys = Arc::<Mutex<Keys>>::default();
-        let shared = keys.clone();
+        let is_down = Arc::<AtomicBool>::default();
+        let store = Store { address, keys, is_down };
+        let shared = store.clone();
         thread::spawn(move || {
             for stream in listener.incoming().flatten() {
-                let keys = shared.clone();
-                thread::spawn(move || drop(serve_store(stream, &keys)));
+                let store = shared.clone();
+                thread::spawn(move || drop(serve_store(stream, &store)));
             }
         });
-        Store { address, keys }
+        store
     }
 
     /// Writes a key as the operator does.
@@ -475,13 +479,17 @@
     }
 }
 
-fn serve_store(stream: TcpStream, keys: &Mutex<Keys>) -> io::Result<()> {
+fn serve_store(stream: TcpStream, store: &Store) -> io::Result<()> {
     stream.set_nodelay(true)?;
     let mut out = stream.try_clone()?;
     let mut reader = BufReader::new(stream);
     while let Some(request) = Request::read(&mut reader)? {
         thread::sleep(STORE_DELAY);
-        let (status, body) = answer_store(&request, &mut keys.lock().expect("no panic"));
+        if store.is_down.load(Ordering::SeqCst) {
+            respond(&mut out, "503 Service Unavailable", "{}")?;
+            continue;
+        }
+        let (status, body) = answer_store(&request, &mut store.keys.lock().expect("no panic"));
         respond(&mut out, status, &body)?;
     }
     Ok(())
@@ -581,6 +589,8 @@
     gap: Duration,
     /// Part of prompts under which the replica crashes.
     bad: String,
+    /// Version of its software.
+    version: String,
 }
 
 const SLOTS: usize = 8;
@@ -592,11 +602,14 @@
     let _ = out.flush();
 }
 
-/// Data of an event of an answer.
+/// Data of an event of an answer, by the first version of the replicas' software.
 fn data(request_id: &str, event: u64) -> String {
     format!("word {event} of {request_id}")
 }
 
+/// What a later version writes after the data of its events.
+const LATER: &str = " by v2";
+
 fn run_replica(arguments: &[String]) {
     let text = |name: &str| {
         let at = arguments.iter().position(|argument| argument == name);
@@ -612,6 +625,7 @@
         prefill: millis("--prefill"),
         gap: millis("--gap"),
         bad: text("--bad"),
+        version: text("--version"),
     };
     let listener = loop {
         match TcpListener::bind(manner.address) {
@@ -623,9 +637,9 @@
     let (beats, born) = (manner.clone(), unix_ms());
     thread::spawn(move || {
         let entry = format!(
-            "{{\"service\":\"{SERVICE}\",\"address\":\"{}\",\"zone\":\"porto\",\"version\":\"v1\",\
+            "{{\"service\":\"{SERVICE}\",\"address\":\"{}\",\"zone\":\"porto\",\"version\":\"{}\",\
              \"slots\":{SLOTS},\"state\":\"ready\",\"cold_left_ms\":0,\"born\":{born},\"sequence\":1}}",
-            beats.address
+            beats.address, beats.version
         );
         let target = format!("/replica/beat?key=servers/{}", beats.id);
         loop {
@@ -705,7 +719,7 @@
     shared.pop();
     let is_bad = !manner.bad.is_empty()
         && shared.iter().any(|part| part.split(':').next() == Some(&manner.bad));
-    log(&format!("runs {id} at {} after {last}", manner.id));
+    log(&format!("runs {id} at {} {} after {last}", manner.id, manner.version));
     let framing = if manner.framed {
         "Transfer-Encoding: chunked"
     } else {
@@ -725,14 +739,15 @@
         thread::sleep(manner.prefill);
     }
     for event in last + 1..=manner.events {
-        let text = format!("id: {event}\ndata: {}\n\n", data(id, event));
+        let by = if manner.version == "v2" { LATER } else { "" };
+        let text = format!("id: {event}\ndata: {}{by}\n\n", data(id, event));
         let text = if manner.framed {
             format!("{:x}\r\n{text}\r\n", text.len())
         } else {
             text
         };
         out.write_all(text.as_bytes())?;
-        log(&format!("event {event} of {id} at {}", manner.id));
+        log(&format!("event {event} of {id} at {} {}", manner.id, manner.version));
         thread::sleep(manner.gap);
     }
     if manner.framed {
@@ -752,12 +767,15 @@
     prefill_ms: u64,
     gap_ms: u64,
     bad: &'static str,
+    /// Number of replicas of version v1; the others have v2.
+    old: usize,
 }
 
 struct Replica {
     child: Child,
     id: String,
     address: SocketAddr,
+    log: PathBuf,
     /// When it was seen to have ended by itself.
     ended: Option<Instant>,
 }
@@ -804,9 +822,11 @@
             record: Arc::new(Mutex::new(record)),
         };
         site.store.put("op/config", &manifest(1));
-        for _ in 0..replicas {
+        for index in 0..replicas {
             let address = SocketAddr::from(([127, 0, 0, 1], free_port()));
-            let replica = site.boot(address);
+            let id = format!("i-{:04x}", 0xa001 + index);
+            let version = if index < shape.old { "v1" } else { "v2" };
+            let replica = site.boot_as(&id, address, version);
             site.replicas.push(replica);
         }
         for index in 0..vms {
@@ -848,21 +868,28 @@
 
     /// Boots a replica at an address, under a new identifier.
     fn boot(&mut self, address: SocketAddr) -> Replica {
+        let id = format!("i-{:04x}", 0xa000 + self.boots + 1);
+        self.boot_as(&id, address, "v1")
+    }
+
+    /// Boots a replica at an address, under an identifier, with a version of its software.
+    fn boot_as(&mut self, id: &str, address: SocketAddr, version: &str) -> Replica {
         self.boots += 1;
-        let id = format!("i-{:04x}", 0xa000 + self.boots);
-        let log = File::create(self.folder.join(format!("{id}.log"))).expect("a log");
-        let Shape { framing, events, prefill_ms, gap_ms, bad } = self.shape;
+        let path = self.folder.join(format!("boot-{}.log", self.boots));
+        let log = File::create(&path).expect("a log");
+        let Shape { framing, events, prefill_ms, gap_ms, bad, .. } = self.shape;
         let mut command = Command::new(std::env::current_exe().expect("a path"));
         command
             .arg("replica")
-            .args(["--id", &id, "--address", &address.to_string()])
+            .args(["--id", id, "--address", &address.to_string(), "--version", version])
             .args(["--store", &self.store.address.to_string(), "--framing", framing])
             .args(["--events", &events.to_string(), "--prefill", &prefill_ms.to_string()])
             .args(["--gap", &gap_ms.to_string(), "--bad", bad])
             .stdin(Stdio::null())
             .stdout(log)
             .stderr(Stdio::null());
-        Replica { child: spawn(&mut command), id, address, ended: None }
+        let child = spawn(&mut command);
+        Replica { child, id: id.to_owned(), address, log: path, ended: None }
     }
 
     /// Kills a replica with SIGKILL.
@@ -897,6 +924,13 @@
         }
     }
 
+    /// Boots a replica that has ended again, under its identifier, with another version.
+    fn reboot_as(&mut self, index: usize, version: &str) {
+        let (id, address) = (self.replicas[index].id.clone(), self.replicas[index].address);
+        self.replicas[index] = self.boot_as(&id, address, version);
+        self.note(&format!("replica {id} is started again, its software is {version}"));
+    }
+
     fn start_vm(&mut self, index: usize) {
         let name = format!("edge-porto-{}", index + 1);
         let settings = self.folder.join(format!("{name}.json"));
@@ -941,7 +975,7 @@
     fn replica_lines(&self) -> Vec<(u128, String)> {
         let mut lines = Vec::new();
         for boot in 1..=self.boots {
-            let path = self.folder.join(format!("i-{:04x}.log", 0xa000 + boot));
+            let path = self.folder.join(format!("boot-{boot}.log"));
             let text = std::fs::read_to_string(path).unwrap_or_default();
             for line in text.lines() {
                 let Some((at, rest)) = line.split_once(' ') else { continue };
