--- a/review/10/run.sh
+++ b/review/10/run.sh
@@ -1,5 +1,5 @@
 #!/bin/sh
-# Case 10: a crash within an answer without length counts as its end.
+# Case 10: what is known of a crashing part is lost when all processes are killed.
 # Exits with 1 if the rule was broken, 0 if it held, 2 if the case couldn't run.
 set -u
 here=$(cd "$(dirname "$0")" && pwd) || exit 2
@@ -8,7 +8,7 @@
     [ -x "$program" ] || { echo "$program is missing: build first"; exit 2; }
 done
 folder=$(mktemp -d) || exit 2
-target/review-2/standin drive crashing-unframed "$folder" "$here/record.txt"
+target/review-2/standin drive crashing-part "$folder" "$here/record.txt"
 code=$?
 rm -rf "$folder"
 exit "$code"
--- a/review/cases-2.rs
+++ b/review/cases-2.rs
@@ -7,6 +7,7 @@
     let broken = match case {
         "cut-stream" => cut_stream(folder, record, trouble),
         "cut-item" => cut_item(folder, record, trouble),
+        "taken-up" => taken_up(folder, record, trouble),
         "two-versions" => two_versions(folder, record, trouble),
         "crashing-part" => crashing_part(folder, record, "chunked", trouble),
         "crashing-unframed" => crashing_part(folder, record, "close", trouble),
@@ -77,7 +78,8 @@
 fn cut_item(folder: &Path, record: &Path, trouble: bool) -> bool {
     const JOBS: usize = 4;
     const ITEMS: usize = 10;
-    let shape = Shape { framing: "close", events: 40, prefill_ms: 400, gap_ms: 50, bad: "", old: 9 };
+    let shape =
+        Shape { framing: "close", events: 40, prefill_ms: 400, gap_ms: 50, bad: "", old: 9 };
     let mut site = Site::start(folder, record, shape, 9, 3);
     let bearer = format!("Bearer {KEY}");
     let headers = [("Authorization", bearer.as_str()), ("Content-Type", "application/json")];
@@ -102,7 +104,9 @@
         broken += results.iter().filter(|result| is_cut(&site, result, shape.events)).count();
     }
     site.note_replicas();
-    site.note(&format!("{broken} of {listed} listed items are completed without their whole output"));
+    site.note(&format!(
+        "{broken} of {listed} listed items are completed without their whole output"
+    ));
     broken > 0
 }
 
@@ -267,11 +271,11 @@
     (crashes, runs.iter().filter(|at| **at > bound).count())
 }
 
-
 /// While the store is down, a replica is back under its identifier with another version of its
 /// software, and another replica crashes.
 fn two_versions(folder: &Path, record: &Path, trouble: bool) -> bool {
-    let shape = Shape { framing: "chunked", events: 36, prefill_ms: 60, gap_ms: 70, bad: "", old: 2 };
+    let shape =
+        Shape { framing: "chunked", events: 36, prefill_ms: 60, gap_ms: 70, bad: "", old: 2 };
     let mut site = Site::start(folder, record, shape, 9, 2);
     let answers = Arc::new(Mutex::new(Vec::new()));
     let mut clients = Vec::new();
@@ -329,6 +333,123 @@
         ));
     }
     site.note_replicas();
-    site.note(&format!("{broken} streams hold events of two versions; more than two break the rule"));
+    site.note(&format!(
+        "{broken} streams hold events of two versions; more than two break the rule"
+    ));
     broken > 2
 }
+
+/// What a client saw of a stream, over its first attempt and the one retry of its sheet.
+struct Seen {
+    id: String,
+    first: Answer,
+    /// The answer to the attempt that takes the stream up again, if there was one.
+    again: Option<Answer>,
+}
+
+/// Number of events of an answer.
+fn events_of(answer: &Answer) -> usize {
+    answer.text().lines().filter(|line| line.starts_with("data: ")).count()
+}
+
+/// Asks for a stream, and takes it up once at another machine if its connection breaks off.
+fn follow(id: String, caller: SocketAddr, other: SocketAddr, number: usize) -> Seen {
+    let prompt = format!("a1:100,b{}:100,d{number:x}:250", number % 4);
+    let began = Instant::now();
+    let first = ask(caller, "notes", &id, &prompt);
+    let events = events_of(&first);
+    if first.status != 200 || first.complete || events == 0 {
+        return Seen { id, first, again: None };
+    }
+    let left = Duration::from_secs(5).saturating_sub(began.elapsed()).as_millis().to_string();
+    let (bearer, last) = (format!("Bearer {KEY}"), events.to_string());
+    let again_id = id.replacen("c0de", "a9a1", 1);
+    let headers = [
+        ("Parsleybeam-Request-Id", again_id.as_str()),
+        ("Parsleybeam-Model", "m"),
+        ("Parsleybeam-Token-Usage", "450,80"),
+        ("Parsleybeam-Prompt-Prefix", &prompt),
+        ("Parsleybeam-Request-Deadline", &left),
+        ("Authorization", &bearer),
+        ("Last-Event-Id", &last),
+        ("Resumes", &id),
+    ];
+    let target = format!("/notes/{id}");
+    let timeout = Duration::from_secs(7);
+    let again = call(other, "POST", &target, &headers, id.as_bytes(), timeout);
+    Seen { id, first, again: Some(again) }
+}
+
+/// Five of nine entry processes are killed; clients take their streams up at the other four.
+fn taken_up(folder: &Path, record: &Path, trouble: bool) -> bool {
+    const VMS: usize = 9;
+    const KILLED: usize = 5;
+    let shape =
+        Shape { framing: "chunked", events: 60, prefill_ms: 40, gap_ms: 78, bad: "", old: 9 };
+    let mut site = Site::start(folder, record, shape, 9, VMS);
+    // A tenant that uses two thirds of its rate.
+    let (usual, lower) = ("\"rate_per_s\":35,\"burst\":35", "\"rate_per_s\":20,\"burst\":20");
+    site.store.put("op/config", &manifest(2).replace(usual, lower));
+    thread::sleep(Duration::from_secs(4));
+    let seen = Arc::new(Mutex::new(Vec::new()));
+    let mut clients = Vec::new();
+    let mut play = |site: &Site, span: Duration, alive: &[usize], others: &[usize]| {
+        let until = Instant::now() + span;
+        while Instant::now() < until {
+            let number = clients.len();
+            let id = format!("c0de{number:012x}");
+            let caller = site.vms[alive[number % alive.len()]].caller;
+            let other = site.vms[others[number % others.len()]].caller;
+            let seen = seen.clone();
+            clients.push(thread::spawn(move || {
+                let followed = follow(id, caller, other, number);
+                seen.lock().expect("no panic").push(followed);
+            }));
+            thread::sleep(Duration::from_millis(76));
+        }
+    };
+    let all: Vec<usize> = (0..VMS).collect();
+    let (killed, alive) = all.split_at(KILLED);
+    play(&site, Duration::from_secs(9), &all, alive);
+    if trouble {
+        for index in killed {
+            let _ = site.vms[*index].child.kill();
+        }
+        for index in killed {
+            let _ = site.vms[*index].child.wait();
+            forget(&site.vms[*index].child);
+        }
+        site.note("SIGKILL to edge-porto-1 to edge-porto-5");
+        play(&site, Duration::from_secs(2), alive, alive);
+        for index in killed {
+            site.vms[*index].child = spawn_vm(&site.vms[*index].settings, &site.vms[*index].log);
+        }
+        site.note("edge-porto-1 to edge-porto-5 are started again");
+    }
+    play(&site, Duration::from_secs(3), alive, alive);
+    for client in clients {
+        client.join().expect("a client ends");
+    }
+    let seen = seen.lock().expect("no panic");
+    let (mut began, mut taken, mut gone_on) = (0, 0, 0);
+    for Seen { id, first, again } in seen.iter() {
+        began += usize::from(events_of(first) > 0);
+        let again = again.as_ref().map(|again| {
+            taken += 1;
+            gone_on += usize::from(events_of(again) > 0);
+            format!("; taken up: {}, {} events more", again.status, events_of(again))
+        });
+        let again = again.unwrap_or_default();
+        site.note(&format!(
+            "{id} was answered {}, {} events{again}",
+            first.status,
+            events_of(first)
+        ));
+    }
+    let all = seen.len();
+    site.note_replicas();
+    site.note(&format!(
+        "of {taken} streams that clients took up again, {gone_on} went on; of {all} new ones {began} began"
+    ));
+    taken >= 12 && gone_on * all * 2 < taken * began
+}
--- a/review/standin-2.rs
+++ b/review/standin-2.rs
@@ -8,7 +8,7 @@
 use std::fmt::Write as _;
 use std::fs::File;
 use std::io::{self, BufRead, BufReader, Read, Write};
-use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::net::{SocketAddr, TcpListener, TcpStream, UdpSocket};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
@@ -60,9 +60,18 @@
     SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_millis()
 }
 
+/// A port that is free for TCP and UDP, below those that outgoing connections take.
 fn free_port() -> u16 {
-    let listener = TcpListener::bind(("127.0.0.1", 0)).expect("a free port");
-    listener.local_addr().expect("an address").port()
+    static NEXT: AtomicUsize = AtomicUsize::new(0);
+    let first = std::process::id() as usize * 97;
+    loop {
+        let next = NEXT.fetch_add(1, Ordering::SeqCst);
+        let port = 12_000 + ((first + next) % 18_000) as u16;
+        let address = ("127.0.0.1", port);
+        if TcpListener::bind(address).is_ok() && UdpSocket::bind(address).is_ok() {
+            return port;
+        }
+    }
 }
 
 // ---- JSON and base64 ----
@@ -214,9 +223,10 @@
     const LETTERS: &[u8; 64] = b"ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789+/";
     let mut text = String::new();
     for group in bytes.chunks(3) {
-        let bits = group.iter().enumerate().fold(0_u32, |bits, (index, byte)| {
-            bits | u32::from(*byte) << (16 - 8 * index)
-        });
+        let bits = group
+            .iter()
+            .enumerate()
+            .fold(0_u32, |bits, (index, byte)| bits | u32::from(*byte) << (16 - 8 * index));
         for index in 0..4 {
             let letter = LETTERS[(bits >> (18 - 6 * index) & 63) as usize] as char;
             text.push(if index <= group.len() { letter } else { '=' });
@@ -720,11 +730,7 @@
     let is_bad = !manner.bad.is_empty()
         && shared.iter().any(|part| part.split(':').next() == Some(&manner.bad));
     log(&format!("runs {id} at {} {} after {last}", manner.id, manner.version));
-    let framing = if manner.framed {
-        "Transfer-Encoding: chunked"
-    } else {
-        "Connection: close"
-    };
+    let framing = if manner.framed { "Transfer-Encoding: chunked" } else { "Connection: close" };
     let head = format!(
         "HTTP/1.1 200 OK\r\nParsleybeam-Request-Id: {id}\r\n\
          Parsleybeam-Response-Signature: 3e1b.{id}\r\nContent-Type: text/event-stream\r\n\
@@ -741,11 +747,7 @@
     for event in last + 1..=manner.events {
         let by = if manner.version == "v2" { LATER } else { "" };
         let text = format!("id: {event}\ndata: {}{by}\n\n", data(id, event));
-        let text = if manner.framed {
-            format!("{:x}\r\n{text}\r\n", text.len())
-        } else {
-            text
-        };
+        let text = if manner.framed { format!("{:x}\r\n{text}\r\n", text.len()) } else { text };
         out.write_all(text.as_bytes())?;
         log(&format!("event {event} of {id} at {} {}", manner.id, manner.version));
         thread::sleep(manner.gap);
@@ -906,7 +908,10 @@
     fn reboot(&mut self, index: usize) {
         let address = self.replicas[index].address;
         let replica = self.boot(address);
-        self.note(&format!("replica {} is started at the address of {}", replica.id, self.replicas[index].id));
+        self.note(&format!(
+            "replica {} is started at the address of {}",
+            replica.id, self.replicas[index].id
+        ));
         self.replicas[index] = replica;
     }
 
@@ -1026,7 +1031,13 @@
     let routes = [
         route("notes", "streaming", 2, true, r#","gap_target_ms":200"#),
         route("replies", "streaming", 1, false, r#","gap_target_ms":200"#),
-        route("reports", "batch", 3, true, r#","run_target_ms":18000,"retention_s":60,"cap":940000"#),
+        route(
+            "reports",
+            "batch",
+            3,
+            true,
+            r#","run_target_ms":18000,"retention_s":60,"cap":940000"#,
+        ),
     ];
     format!(
         r#"{{"version":{version},"routes":[{}],"services":[{{"name":"{SERVICE}","health_path":"/health","max_connections":370,"protocol":"h1","tls":false}}],"limits":{{"max_header_bytes":16384,"max_body_bytes":4194304,"header_timeout_ms":3000,"idle_timeout_ms":15000}},"tenants":[{{"name":"tenant","api_keys":["{KEY}"],"priority":1,"rate_per_s":35,"burst":35}}]}}"#,
