--- a/review/cases-2.rs
+++ b/review/cases-2.rs
@@ -214,6 +214,7 @@
         let second = if is_bad { BAD.to_owned() } else { format!("b{}", number % 4) };
         let prompt = format!("a1:100,{second}:100,d{number:x}:250");
         let caller = site.vms[number % 3].caller;
+        site.note(&format!("a client sends {id} with {prompt} to {caller}"));
         let answer = ask(caller, "replies", &id, &prompt);
         site.note(&format!("{id} was answered {}, complete {}", answer.status, answer.complete));
         // A replica that has crashed is back after some seconds.
@@ -239,7 +240,7 @@
         // The final fault: right after a manifest has been acknowledged.
         site.store.put("op/config", &manifest(2));
         site.note("the store acknowledges manifest 2");
-        site.kill_all_vms(Duration::from_millis(570));
+        site.kill_all_vms(Duration::from_millis(500));
     }
     // No request with the part comes until all machines are in touch again.
     play(&mut site, Duration::from_millis(4_500), false);
@@ -286,6 +287,7 @@
             let id = format!("c0de{number:012x}");
             let caller = site.vms[number % 2].caller;
             let answers = answers.clone();
+            site.note(&format!("a client sends {id} on route notes to {caller}"));
             clients.push(thread::spawn(move || {
                 let prompt = format!("a1:100,b{}:100,d{number:x}:250", number % 4);
                 let answer = ask(caller, "notes", &id, &prompt);
@@ -308,7 +310,7 @@
     if trouble {
         site.kill_replica(1);
     }
-    play(&site, Duration::from_millis(1_200));
+    play(&site, Duration::from_millis(900));
     if trouble {
         site.store.is_down.store(false, Ordering::SeqCst);
         site.note("the store is back");
@@ -343,8 +345,9 @@
 struct Seen {
     id: String,
     first: Answer,
-    /// The answer to the attempt that takes the stream up again, if there was one.
-    again: Option<Answer>,
+    /// The answer to the attempt that takes the stream up again, if there was one, and the time
+    /// that was left to it.
+    again: Option<(Duration, Answer)>,
 }
 
 /// Number of events of an answer.
@@ -361,7 +364,8 @@
     if first.status != 200 || first.complete || events == 0 {
         return Seen { id, first, again: None };
     }
-    let left = Duration::from_secs(5).saturating_sub(began.elapsed()).as_millis().to_string();
+    let left = Duration::from_secs(5).saturating_sub(began.elapsed());
+    let left_ms = left.as_millis().to_string();
     let (bearer, last) = (format!("Bearer {KEY}"), events.to_string());
     let again_id = id.replacen("c0de", "a9a1", 1);
     let headers = [
@@ -369,7 +373,7 @@
         ("Parsleybeam-Model", "m"),
         ("Parsleybeam-Token-Usage", "450,80"),
         ("Parsleybeam-Prompt-Prefix", &prompt),
-        ("Parsleybeam-Request-Deadline", &left),
+        ("Parsleybeam-Request-Deadline", &left_ms),
         ("Authorization", &bearer),
         ("Last-Event-Id", &last),
         ("Resumes", &id),
@@ -377,13 +381,14 @@
     let target = format!("/notes/{id}");
     let timeout = Duration::from_secs(7);
     let again = call(other, "POST", &target, &headers, id.as_bytes(), timeout);
-    Seen { id, first, again: Some(again) }
+    Seen { id, first, again: Some((left, again)) }
 }
 
 /// Five of nine entry processes are killed; clients take their streams up at the other four.
 fn taken_up(folder: &Path, record: &Path, trouble: bool) -> bool {
     const VMS: usize = 9;
     const KILLED: usize = 5;
+    const ENOUGH: Duration = Duration::from_secs(1);
     let shape =
         Shape { framing: "chunked", events: 60, prefill_ms: 40, gap_ms: 78, bad: "", old: 9 };
     let mut site = Site::start(folder, record, shape, 9, VMS);
@@ -401,6 +406,7 @@
             let caller = site.vms[alive[number % alive.len()]].caller;
             let other = site.vms[others[number % others.len()]].caller;
             let seen = seen.clone();
+            site.note(&format!("a client sends {id} on route notes to {caller}"));
             clients.push(thread::spawn(move || {
                 let followed = follow(id, caller, other, number);
                 seen.lock().expect("no panic").push(followed);
@@ -420,7 +426,7 @@
             forget(&site.vms[*index].child);
         }
         site.note("SIGKILL to edge-porto-1 to edge-porto-5");
-        play(&site, Duration::from_secs(2), alive, alive);
+        play(&site, Duration::from_millis(1_700), alive, alive);
         for index in killed {
             site.vms[*index].child = spawn_vm(&site.vms[*index].settings, &site.vms[*index].log);
         }
@@ -431,13 +437,20 @@
         client.join().expect("a client ends");
     }
     let seen = seen.lock().expect("no panic");
-    let (mut began, mut taken, mut gone_on) = (0, 0, 0);
+    let (mut began, mut taken, mut gone_on, mut too_late) = (0, 0, 0, 0);
     for Seen { id, first, again } in seen.iter() {
         began += usize::from(events_of(first) > 0);
-        let again = again.as_ref().map(|again| {
-            taken += 1;
-            gone_on += usize::from(events_of(again) > 0);
-            format!("; taken up: {}, {} events more", again.status, events_of(again))
+        let again = again.as_ref().map(|(left, again)| {
+            // What hardly has time left could break off for that.
+            match *left < ENOUGH {
+                true => too_late += 1,
+                false => {
+                    taken += 1;
+                    gone_on += usize::from(events_of(again) > 0);
+                }
+            }
+            let (left_ms, events) = (left.as_millis(), events_of(again));
+            format!("; taken up with {left_ms} ms left: {}, {events} events more", again.status)
         });
         let again = again.unwrap_or_default();
         site.note(&format!(
@@ -449,7 +462,8 @@
     let all = seen.len();
     site.note_replicas();
     site.note(&format!(
-        "of {taken} streams that clients took up again, {gone_on} went on; of {all} new ones {began} began"
+        "of {taken} streams that clients took up again, {gone_on} went on ({too_late} with under a \
+         second left don't count); of {all} new ones {began} began"
     ));
     taken >= 12 && gone_on * all * 2 < taken * began
 }
