--- a/src/serve/exchange.rs
+++ b/src/serve/exchange.rs
@@ -269,9 +269,10 @@
     if tenant.rate_per_s <= 0.0 {
         return Ok(());
     }
-    let (grant, source) = peers.take_token(tenant).await;
-    record.token = source;
-    let Grant::Exceeded(wait) = grant else { return Ok(()) };
+    let taken = peers.take_token(tenant).await;
+    record.token = taken.source;
+    record.token_refusals = taken.refusals;
+    let Grant::Exceeded(wait) = taken.grant else { return Ok(()) };
     let detail = format!("{} has used up its rate and burst", tenant.organisation);
     Err(Error::new(Kind::RateExceeded, detail).retry_after(wait))
 }
--- a/src/serve/record.rs
+++ b/src/serve/record.rs
@@ -27,6 +27,8 @@
     pub organisation: String,
     /// Source of its rate-limit token; empty if none was needed.
     pub token: &'static str,
+    /// Sources that gave no token before it, each with the reason.
+    pub token_refusals: Vec<&'static str>,
     /// Names of the upstreams that the request was sent to, in order.
     pub attempts: Vec<String>,
     /// Software versions of these upstreams.
@@ -61,6 +63,7 @@
             route: String::new(),
             organisation: String::new(),
             token: "",
+            token_refusals: Vec::new(),
             attempts: Vec::new(),
             through: Vec::new(),
             at_limit: Vec::new(),
@@ -125,6 +128,7 @@
             "request" => self.request_id.as_str(), "outcome" => outcome, "status" => self.status,
             "reason" => self.reason.as_str(), "route" => self.route.as_str(),
             "organisation" => self.organisation.as_str(), "token" => self.token,
+            "token_refusals" => self.token_refusals.join(","),
             "configuration" => self.version, "store_age_ms" => store_age.as_millis() as u64,
             "attempts" => self.attempts.join(","), "versions" => self.versions.join(","),
             "view_ages_ms" => self.view_ages_ms.join(","),
