--- a/src/serve/datagram.rs
+++ b/src/serve/datagram.rs
@@ -208,6 +208,21 @@
     /// Whether the token is to come from the reserve that the receiver keeps as a deputy.
     #[prost(bool, tag = "3")]
     pub reserve: bool,
+    /// What it is for, if it is to come from the reserve.
+    #[prost(enumeration = "Claim", tag = "4")]
+    pub claim: i32,
+}
+
+/// What a token of a reserve is for (`reserve::Claim`).
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, prost::Enumeration)]
+#[repr(i32)]
+pub enum Claim {
+    /// A new request that the holder refuses.
+    Limit = 0,
+    /// A new request that may use the tolerance.
+    Tolerance = 1,
+    /// A stream that is taken up.
+    Resumption = 2,
 }
 
 /// Requests that the receiver lets go of an organisation's bucket in favour of the sender.
--- a/src/serve/exchange.rs
+++ b/src/serve/exchange.rs
@@ -221,7 +221,7 @@
     };
     if let Some(tenant) = tenant {
         record.organisation = tenant.organisation.to_string();
-        enforce_rate(peers, tenant, record).await?;
+        enforce_rate(peers, tenant, version.is_some(), record).await?;
     }
     Ok(Admitted {
         organisation: tenant.map(|tenant| tenant.organisation.clone()),
@@ -265,11 +265,16 @@
     Ok(Some(origin))
 }
 
-async fn enforce_rate(peers: &Rc<Peers>, tenant: &Tenant, record: &mut Record) -> Result<()> {
+async fn enforce_rate(
+    peers: &Rc<Peers>,
+    tenant: &Tenant,
+    is_resumed: bool,
+    record: &mut Record,
+) -> Result<()> {
     if tenant.rate_per_s <= 0.0 {
         return Ok(());
     }
-    let taken = peers.take_token(tenant).await;
+    let taken = peers.take_token(tenant, is_resumed).await;
     record.token = taken.source;
     record.token_refusals = taken.refusals;
     let Grant::Exceeded(wait) = taken.grant else { return Ok(()) };
--- a/src/serve/gate.rs
+++ b/src/serve/gate.rs
@@ -88,7 +88,7 @@
         granters
     }
 
-    fn record_unanswered(&self, vm: &Vm) {
+    pub(super) fn record_unanswered(&self, vm: &Vm) {
         let now = self.context().now();
         let mut unanswered = self.unanswered.borrow_mut();
         unanswered.retain(|_, until| !until.passed(now));
--- a/src/serve/member.rs
+++ b/src/serve/member.rs
@@ -48,6 +48,9 @@
 pub struct Rates {
     /// Whether it hands buckets over.
     pub hands_over: bool,
+    /// Whether it keeps a part of each limit as a deputy; older versions don't.
+    #[serde(default)]
+    pub keeps_part: bool,
     /// When it last began with a credit after a crash, as a Unix time in milliseconds.
     pub credited_unix_ms: u64,
 }
--- a/src/serve/peers.rs
+++ b/src/serve/peers.rs
@@ -25,7 +25,7 @@
 use crate::clock::Time;
 use crate::emit;
 use crate::event::Event;
-use crate::id::Vm;
+use crate::id::{Organisation, Vm};
 
 /// Maximum size of a datagram, in bytes.
 const MAX_DATAGRAM_BYTES: usize = 64 << 10;
@@ -72,6 +72,9 @@
     pub(super) grant_requests: grant::Requests,
     /// VMs that didn't answer a request for a grant, with the time until which they aren't asked.
     pub(super) unanswered: RefCell<HashMap<Vm, Time>>,
+    /// Organisations whose deputies had nothing left, with the time until which they aren't asked
+    /// for new requests.
+    pub(super) empty_reserves: RefCell<HashMap<Organisation, Time>>,
     pub(super) origin_requests: resume::Requests,
     pub(super) requesting: hand_over::Requesting,
     sequence: Cell<u64>,
@@ -100,6 +103,7 @@
             states: RefCell::default(),
             grant_requests: grant::Requests::default(),
             unanswered: RefCell::default(),
+            empty_reserves: RefCell::default(),
             origin_requests: resume::Requests::default(),
             requesting: hand_over::Requesting::default(),
             sequence: Cell::new(0),
--- a/src/serve/poller.rs
+++ b/src/serve/poller.rs
@@ -377,7 +377,7 @@
     fn member(&self) -> Member {
         let hands_over = self.context.limiter.borrow().hands_over();
         let credited_unix_ms = self.state.borrow().credited_unix_ms;
-        let rates = Some(member::Rates { hands_over, credited_unix_ms });
+        let rates = Some(member::Rates { hands_over, keeps_part: hands_over, credited_unix_ms });
         Member { rates, ..self.context.member.clone() }
     }
 
--- a/src/serve/rate/mod.rs
+++ b/src/serve/rate/mod.rs
@@ -42,11 +42,11 @@
 use std::collections::HashMap;
 use std::time::Duration;
 
-use self::window::Window;
+pub use self::window::Window;
 pub use super::bucket::Bucket;
 use super::configuration::Tenant;
 use super::member::{Listed, owner, ranked};
-use super::reserve::{DEPUTIES, DEPUTY_MAX_AGE, Reserves};
+use super::reserve::{self, DEPUTY_MAX_AGE, MAX_DEPUTIES, Reserves};
 use crate::clock::Time;
 use crate::id::{Organisation, Vm};
 
@@ -67,7 +67,9 @@
 /// a large fleet if the earlier one may have seen one.
 const MEMBERS_MARGIN: usize = 8;
 /// Fraction of each rate and burst that is spread over the members.
-pub const LOCAL_SHARE: f64 = 0.6;
+pub const LOCAL_SHARE: f64 = 0.5;
+/// The same where deputies keep no part of the limit, as older versions have it.
+const LOCAL_SHARE_WITHOUT_DEPUTIES: f64 = 0.6;
 /// Time between two starts of a VM after crashes that begin with a credit; longer than the
 /// window over which limits are measured.
 pub const CREDIT_INTERVAL: Duration = Duration::from_secs(10);
@@ -194,6 +196,8 @@
     /// Whether all members said so in the last list: VMs of older versions may share neither
     /// the rules of a planned stop nor the division of the reserve.
     is_uniform: bool,
+    /// Time until which some deputy may keep a part of each limit.
+    kept_until: Time,
     /// Buckets that this VM let go of recently.
     releases: HashMap<Organisation, Release>,
     /// Buckets that this VM has requested, each with its latest request.
@@ -202,7 +206,7 @@
     ownerships: HashMap<Organisation, Ownership>,
     /// Time at which the latest read of the members' list was sent.
     confirmed_at: Time,
-    /// Recently seen numbers of members, with the time until which each counts.
+    /// Recently seen numbers of members, each with the time at which it was seen.
     member_counts: Vec<(Time, usize)>,
     /// Time from which local buckets are used.
     local_from: Time,
@@ -222,6 +226,7 @@
             reserves: Reserves::default(),
             hands_over,
             is_uniform: false,
+            kept_until: Time(0),
             releases: HashMap::new(),
             requests: HashMap::new(),
             ownerships: HashMap::new(),
@@ -257,7 +262,9 @@
         let has_credit = first && predecessor == Predecessor::CrashedLongAgo;
         let takes_over = first && predecessor == Predecessor::Crashed || has_credit;
         let shares_rules = |listed: &Listed| {
-            listed.member.vm == self.vm || listed.member.rates.is_some_and(|rates| rates.hands_over)
+            let rates = listed.member.rates;
+            listed.member.vm == self.vm
+                || rates.is_some_and(|rates| rates.hands_over && rates.keeps_part)
         };
         self.is_uniform = self.hands_over && members.iter().all(shares_rules);
         if !local_kept {
@@ -265,12 +272,21 @@
             self.local_from = if others_count_us { now } else { now.after(LOCAL_SHARE_MAX_AGE) };
             self.local_buckets.clear();
         }
-        if self.confirmed_at.after(DEPUTY_MAX_AGE).passed(now) {
+        let deputy_wait = DEPUTY_MAX_AGE + reserve::window(self.tolerance);
+        if self.is_uniform {
+            self.kept_until = now.after(deputy_wait);
+        }
+        let deputy_expired = self.confirmed_at.after(DEPUTY_MAX_AGE).passed(now);
+        // By the same list nobody can have become a deputy in this VM's place, unless there was
+        // time for a VM to join, to act, and to be removed.
+        let may_be_replaced = list != self.list || self.confirmed_at.after(deputy_wait).passed(now);
+        if deputy_expired && may_be_replaced {
             self.reserves.clear_deputies();
         }
         self.confirmed_at = self.confirmed_at.max(sent_at);
-        self.member_counts.retain(|(until, _)| !until.passed(now));
-        self.member_counts.push((now.after(LOCAL_SHARE_MAX_AGE), members.len().max(1)));
+        let counted = LOCAL_SHARE_MAX_AGE + reserve::window(self.tolerance);
+        self.member_counts.retain(|(seen, _)| !seen.after(counted).passed(now));
+        self.member_counts.push((now, members.len().max(1)));
         self.list = list;
         let holder_from = now.after(holder_max_age(self.max_members() + MEMBERS_MARGIN));
         if self.ownerships.len() > tenants.len() {
@@ -279,11 +295,12 @@
         self.releases.retain(|_, release| !release.at.after(RELEASE_TOLD_FOR).passed(now));
         for tenant in tenants {
             let organisation = &tenant.organisation;
-            let ranked = ranked(members, organisation.as_str(), 1 + DEPUTIES);
+            let ranked = ranked(members, organisation.as_str(), 1 + MAX_DEPUTIES);
             let name = |rank: usize| ranked.get(rank).map(|member| member.vm.clone());
             self.update_ownership(organisation, name(0), name(1));
-            let is_deputy = ranked.iter().skip(1).any(|member| member.vm == self.vm);
-            self.reserves.set_deputy(organisation, is_deputy, now);
+            let mut deputies = ranked.iter().skip(1).take(self.deputies(tenant));
+            let is_deputy = self.is_uniform && deputies.any(|member| member.vm == self.vm);
+            self.reserves.set_deputy(organisation, is_deputy, now.after(deputy_wait), now);
             let is_holder = ranked.first().is_some_and(|member| member.vm == self.vm);
             let hands_over = self.hands_over;
             // A VM that stops grants on, so it may do so while this VM's list was too old.
@@ -369,9 +386,9 @@
 
     /// Tokens left in a shared bucket.
     fn balance(&mut self, tenant: &Tenant, now: Time) -> f64 {
-        let share = self.held_share(tenant);
+        let (share, burst) = (self.held_share(tenant), self.held_burst(tenant));
         let Some(held) = self.held_buckets.get_mut(&tenant.organisation) else { return 0.0 };
-        held.bucket.available(tenant.rate_per_s * share, tenant.burst * share, now)
+        held.bucket.available(tenant.rate_per_s * share, burst, now)
     }
 
     /// Time until which this VM may grant tokens as a holder.
@@ -379,12 +396,30 @@
         self.confirmed_at.after(holder_max_age(self.min_members()))
     }
 
+    /// When the latest list was applied.
+    fn applied_at(&self) -> Time {
+        self.member_counts.last().map_or(Time(0), |(seen, _)| *seen)
+    }
+
+    /// Numbers of members in the lists that some VM may still use.
+    fn recent_members(&self) -> impl Iterator<Item = usize> {
+        let last = self.applied_at();
+        let recent =
+            move |(seen, _): &&(Time, usize)| !seen.after(LOCAL_SHARE_MAX_AGE).passed(last);
+        self.member_counts.iter().filter(recent).map(|(_, count)| *count)
+    }
+
     fn max_members(&self) -> usize {
-        self.member_counts.iter().map(|(_, count)| *count).max().unwrap_or(1)
+        self.recent_members().max().unwrap_or(1)
     }
 
     fn min_members(&self) -> usize {
-        self.member_counts.iter().map(|(_, count)| *count).min().unwrap_or(1)
+        self.recent_members().min().unwrap_or(1)
+    }
+
+    /// Maximum number of members in the lists by which grants that still count were made.
+    fn window_members(&self) -> usize {
+        self.member_counts.iter().map(|(_, count)| *count).max().unwrap_or(1)
     }
 }
 
--- a/tests/rate_load/mod.rs
+++ b/tests/rate_load/mod.rs
@@ -11,7 +11,7 @@
 use parsleybeam::serve::rate::{
     Bucket, CREDIT_INTERVAL, Grant, Limiter, NO_REQUEST, Offer, Predecessor, Tolerance,
 };
-use parsleybeam::serve::reserve::DEPUTIES;
+use parsleybeam::serve::reserve::{Claim, MAX_DEPUTIES};
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
@@ -203,12 +203,13 @@
     }
 
     /// A token from who is taken to hold the bucket, from who that VM names, or from a deputy.
-    pub fn take_from_others(&mut self, index: usize) -> Grant {
+    pub fn take_from_others(&mut self, index: usize, is_resumed: bool) -> Grant {
         let (now, tenant) = (self.now, self.tenant.clone());
-        let ranked = ranked(&self.processes[index].list, "large", 1 + DEPUTIES);
+        let ranked = ranked(&self.processes[index].list, "large", 1 + MAX_DEPUTIES);
         let indices: Vec<usize> = ranked.iter().map(|member| index_of(&member.vm)).collect();
         let Some((holder, deputies)) = indices.split_first() else { return Grant::NotHolder };
         let mut holder = *holder;
+        let mut claim = Claim::Tolerance;
         for _ in 0..2 {
             if !self.is_up(holder) {
                 break;
@@ -216,20 +217,28 @@
             let limiter = &mut self.processes[holder].limiter;
             match limiter.grant(&tenant, now) {
                 Grant::NotHolder => {}
-                Grant::Short(_) if self.asks_if_short => break,
-                answer => return answer,
+                Grant::Granted => return Grant::Granted,
+                answer if !self.asks_if_short => return answer,
+                Grant::Short(_) => break,
+                Grant::Exceeded(_) => {
+                    claim = Claim::Limit;
+                    break;
+                }
             }
             match limiter.other_holder(&tenant.organisation, now) {
                 Some(next) => holder = index_of(&next),
                 None => break,
             }
         }
-        let is_uniform = self.processes[index].limiter.is_uniform();
-        for deputy in deputies {
+        let claim = if is_resumed { Claim::Resumption } else { claim };
+        let limiter = &self.processes[index].limiter;
+        let (is_uniform, count) = (limiter.is_uniform(), limiter.deputies(&tenant));
+        for deputy in deputies.iter().take(count) {
             if self.uses_deputies
                 && is_uniform
                 && self.is_up(*deputy)
-                && self.processes[*deputy].limiter.take_deputy(&tenant, now) == Grant::Granted
+                && self.processes[*deputy].limiter.take_deputy(&tenant, claim, now)
+                    == Grant::Granted
             {
                 return Grant::Granted;
             }
@@ -285,7 +294,7 @@
         }
         if !listed {
             self.version += 1;
-            let rates = Rates { hands_over: true, credited_unix_ms: 0 };
+            let rates = Rates { hands_over: true, keeps_part: true, credited_unix_ms: 0 };
             let rates = (self.hands_over && index >= self.older).then_some(rates);
             let member = Member { rates, ..member(index, self.version) };
             self.members.push(Listed { member, version: self.version });
@@ -298,6 +307,17 @@
 
     /// Sends one request to a VM; ignored while its process is down.
     pub fn request(&mut self, index: usize) {
+        self.ask(index, false);
+    }
+
+    /// Takes a stream up at a VM; whether it goes on.
+    pub fn resume(&mut self, index: usize) -> bool {
+        let before = self.granted.len();
+        self.ask(index, true);
+        self.granted.len() > before
+    }
+
+    fn ask(&mut self, index: usize, is_resumed: bool) {
         let now = self.now;
         if !self.processes[index].down_until.passed(now) {
             return;
@@ -308,7 +328,7 @@
             return self.granted.push(now);
         }
         if self.hands_over && index >= self.older {
-            match self.take_from_others(index) {
+            match self.take_from_others(index, is_resumed) {
                 Grant::Granted => self.granted.push(now),
                 Grant::Exceeded(_) | Grant::Short(_) | Grant::NotHolder => self.refused += 1,
             }
@@ -386,6 +406,22 @@
     }
 }
 
+/// Kills more than half of the VMs at once; their processes are back within 2 s.
+pub fn kill_many(simulation: &mut Simulation) {
+    let span = Duration::from_millis(simulation.random.random_range(300..2_000));
+    let until = simulation.now.after(span);
+    let count = simulation.processes.len();
+    let first = simulation.random.random_range(0..count);
+    for index in (0..count.div_ceil(2)).map(|offset| (first + offset) % count) {
+        let limiter = simulation.limiter(index);
+        let process = &mut simulation.processes[index];
+        process.limiter = limiter;
+        process.starting = true;
+        process.stops_at = Time::NEVER;
+        (process.down_until, process.next_poll) = (until, until);
+    }
+}
+
 /// Share of refused requests among those that a single bucket for all VMs would
 /// have granted. The load is 1 / 1.6 of the rate, which is usual for the users.
 pub fn refused_share(
--- a/tests/serve_rate.rs
+++ b/tests/serve_rate.rs
@@ -8,11 +8,13 @@
 
 use parsleybeam::clock::Time;
 use parsleybeam::id::Vm;
+use parsleybeam::serve::configuration::Tenant;
 use parsleybeam::serve::member::{Listed, owner, ranked};
 use parsleybeam::serve::rate::{Grant, Limiter, NO_REQUEST, Offer, Predecessor};
+use parsleybeam::serve::reserve::{CREDIT_SHARE, DEPUTY_SHARE, KEPT_SHARE, MAX_DEPUTIES, Part};
 use rand::Rng;
 use rate_load::{
-    Process, Simulation, TOLERANCE, index_of, inject_fault, member, refused_share,
+    Process, STEP, Simulation, TOLERANCE, index_of, inject_fault, kill_many, member, refused_share,
     refused_share_in_steps, tenant,
 };
 
@@ -344,3 +346,111 @@
     }
     assert!(played > 0, "the heir is older in some fleet");
 }
+
+/// VMs that are killed at once: `killed` of `vms`, the holder among them, beside a tenant that
+/// uses 0.65 of its rate. The share of the streams that go on when their callers take them up at
+/// the others.
+fn share_after_kill(seed: u64, vms: usize, killed: usize, tenant: Tenant) -> f64 {
+    const STREAM_S: f64 = 4.7;
+    let per_step = tenant.rate_per_s * 0.65 * STEP.as_secs_f64();
+    let mut simulation = Simulation::with_hand_over(seed, vms, tenant, 0.0);
+    (0..1_500).for_each(|_| simulation.step());
+    for _ in 0..700 {
+        simulation.step();
+        if simulation.random.random_bool(per_step) {
+            let index = simulation.random.random_range(0..vms);
+            simulation.request(index);
+        }
+    }
+    let holder = index_of(&owner(&simulation.members, "large").expect("there are members").vm);
+    let mut order: Vec<usize> = (0..vms).filter(|index| *index != holder).collect();
+    order.rotate_left(seed as usize % (vms - 1));
+    order.insert(0, holder);
+    let back = simulation.now.after(Duration::from_millis(1_700));
+    let (down, alive) = order.split_at(killed);
+    for index in down {
+        simulation.processes[*index].down_until = back;
+    }
+    let broken = per_step / STEP.as_secs_f64() * STREAM_S * killed as f64 / vms as f64;
+    let broken = broken.round() as usize;
+    let resumed = (0..broken).filter(|index| simulation.resume(alive[index % alive.len()]));
+    let share = resumed.count() as f64 / broken as f64;
+    for _ in 0..170 {
+        simulation.step();
+        if simulation.random.random_bool(per_step) {
+            let index = simulation.random.random_range(0..alive.len());
+            simulation.request(alive[index]);
+        }
+    }
+    let (peak, limit) = (simulation.max_in_window() as f64, simulation.limit());
+    assert!(peak <= limit, "seed {seed}: {peak} granted in a window, limit {limit}");
+    share
+}
+
+/// Guards against streams that are refused within their tenant's limit when they are taken up
+/// after a kill of many VMs, the holder of the tenant's bucket among them.
+#[test]
+fn resume_within_limit_after_kill() {
+    for (vms, killed) in [(3, 1), (3, 2), (9, 1), (9, 3), (9, 5), (40, 1), (40, 13), (40, 22)] {
+        let share = |seed| share_after_kill(seed, vms, killed, tenant(20.0, 20.0));
+        let worst = (0..20).map(share).fold(1.0, f64::min);
+        assert!(worst >= 0.5, "{killed} of {vms} VMs killed: {worst} of the streams go on");
+    }
+}
+
+/// Guards against deputies that grant the same room twice: streams are taken up in waves beside a
+/// flood of new requests, while many VMs are killed and come back, and others fail.
+#[test]
+fn resume_overload_with_faults() {
+    for seed in 0..50 {
+        let (vms, tenant) =
+            [(3, tenant(20.0, 20.0)), (9, tenant(20.0, 20.0)), (40, tenant(16.0, 16.0))]
+                [seed as usize % 3]
+                .clone();
+        let loss = if seed % 2 == 0 { 0.0 } else { 0.2 };
+        let mut simulation = Simulation::with_hand_over(seed, vms, tenant, loss);
+        for step in 0..6_000 {
+            simulation.step();
+            for _ in 0..2 {
+                let index = simulation.random.random_range(0..vms);
+                simulation.request(index);
+                simulation.resume((index + 1) % vms);
+            }
+            if step % 150 == 0 {
+                inject_fault(&mut simulation);
+            }
+            if step % 400 == 0 {
+                kill_many(&mut simulation);
+            }
+        }
+        let (peak, limit) = (simulation.max_in_window() as f64, simulation.limit());
+        assert!(peak <= limit, "seed {seed}, {vms} VMs: {peak} in a window, limit {limit}");
+    }
+}
+
+/// Guards against parts of a limit that add up to more than it: all that may be granted in a
+/// window, by the share of each, and what is used of the tolerance.
+#[test]
+fn parts_add_up_to_limit() {
+    for members in 1..=80 {
+        for rate in [0.5, 1.0, 2.0, 5.0, 16.0, 20.0, 35.0, 100.0] {
+            for burst in [1.0, rate, 2.0 * rate] {
+                let tenant = tenant(rate, burst);
+                let part = Part::of(&tenant, TOLERANCE, members);
+                let limit = rate * TOLERANCE.window_s + burst;
+                let excess = limit * TOLERANCE.overrun + TOLERANCE.slack;
+                let kept = part.all_kept();
+                assert!(kept <= KEPT_SHARE * limit, "{kept} of {limit} kept, {members} VMs");
+                let beyond = part.excess * part.deputies as f64;
+                let credit = CREDIT_SHARE * excess;
+                assert!(beyond <= DEPUTY_SHARE * excess + 1e-9, "{beyond} of {excess}");
+                assert!(
+                    beyond + credit <= 0.9 * excess + 1e-9,
+                    "{beyond} and {credit} of {excess}"
+                );
+                assert!(part.deputies < members, "{} deputies of {members}", part.deputies);
+                assert!(part.deputies <= MAX_DEPUTIES, "{} deputies", part.deputies);
+            }
+        }
+    }
+}
