Keep in the store what is known of crashing parts and requests (BUDGET)

Cause: what is held off stood in memory and was told by VM to VM, so that nothing was left when all ended at once. The same held for single requests that are quarantined, and for crashes not yet decided about.

Evidence: each VM logged PartHeldOff before the kill and none after it until four more crashes; without the kill no request was let through.

Change: one entry of the store holds the parts that are held off, the quarantined requests and the open evidence. One VM writes it when it changes, on the condition of the version that was read; all read it with their view, before they serve. The time of the next trial is kept too.

--- a/src/event/catalogue.rs
+++ b/src/event/catalogue.rs
@@ -82,6 +82,7 @@
     519 ReaderSlow Info "a caller reads its response slowly";
     520 UpstreamDraining Info "entry of an upstream says that it leaves; it gets no more requests";
     522 UpstreamKept Info "entry of an upstream is missing after an outage; kept for a while";
+    523 CrashesRead Info "what the store keeps of parts and requests that crash upstreams was read";
 
     601 SharesMoved Info "share table adopted";
     602 RateReleased Info "bucket of a rate limit released to another VM";
--- a/src/serve/context.rs
+++ b/src/serve/context.rs
@@ -104,6 +104,8 @@
     pub parts_completed: RefCell<Vec<Part>>,
     /// Notified when this VM has something new to report about crashes.
     pub crash_seen: Notify,
+    /// Notified when what is known of crashes may have changed.
+    pub crashes_changed: Notify,
     /// Versions of the services' upstreams of late.
     pub versions: RefCell<History>,
     /// Origins of streams.
@@ -164,6 +166,7 @@
             crashes: RefCell::default(),
             parts_completed: RefCell::default(),
             crash_seen: Notify::new(),
+            crashes_changed: Notify::new(),
             versions: RefCell::default(),
             origins: RefCell::default(),
             stream_begun: Notify::new(),
--- a/src/serve/crash/mod.rs
+++ b/src/serve/crash/mod.rs
@@ -8,8 +8,11 @@
 //! explains many crashes (`parts`); crashes so explained no longer count against
 //! the requests that were merely there. Items of jobs are owed until they are
 //! done, so their crashes count for nothing but a pause of the item itself.
+//!
+//! What is known of parts and requests also outlasts a kill of all VMs (`kept`).
 
 mod gossip;
+mod kept;
 mod parts;
 mod report;
 mod requests;
@@ -20,6 +23,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+pub use kept::{KEY as STORE_KEY, Kept, read as read_stored};
 pub use parts::{Crash, Held, Parts, Reporter, Run};
 pub use report::{CompletedRow, CrashRow, HeldRow, Report};
 pub use requests::{LIMIT, Requests};
@@ -93,6 +97,8 @@
     own: Vec<(Run, Time)>,
     /// When some VM last reported answers completed with a part.
     completed_reported: HashMap<Part, Time>,
+    /// What the store keeps.
+    stored: kept::Stored,
 }
 
 /// What changed by new knowledge.
@@ -264,6 +270,7 @@
     let change = context.crashes.borrow_mut().record_own(run, reporter, now);
     log_change(&context, change);
     context.crash_seen.notify_one();
+    context.crashes_changed.notify_one();
 }
 
 /// Why a request is refused.
@@ -322,7 +329,11 @@
         let view = context.view.borrow();
         owner(&view.members, &part.to_string()).is_some_and(|member| &member.vm == context.vm())
     };
-    owns_part && context.crashes.borrow_mut().parts.begin_trial(part, context.now())
+    let begins = owns_part && context.crashes.borrow_mut().parts.begin_trial(part, context.now());
+    if begins {
+        context.crashes_changed.notify_one();
+    }
+    begins
 }
 
 /// Records that an answer to a request with `shared_parts` was completed.
@@ -333,6 +344,7 @@
         return;
     }
     log_cleared(context, &cleared);
+    context.crashes_changed.notify_one();
     context.parts_completed.borrow_mut().extend(cleared);
     context.crash_seen.notify_one();
 }
@@ -349,8 +361,7 @@
         log_cleared(context, &cleared);
     }
     for row in &report.held {
-        let at = now.before_millis(row.age_ms);
-        let is_new = context.crashes.borrow_mut().parts.adopt(Part(row.part), at, row.trials);
+        let is_new = context.crashes.borrow_mut().parts.adopt(Part(row.part), row.held(now));
         if is_new {
             log_change(context, Change { held: vec![Part(row.part)], ..Change::default() });
         }
@@ -361,6 +372,7 @@
         let change = context.crashes.borrow_mut().record(run, reporter, at, now);
         log_change(context, change);
     }
+    context.crashes_changed.notify_one();
     context.crashes.borrow_mut().unreported(report, now)
 }
 
--- a/src/serve/crash/parts.rs
+++ b/src/serve/crash/parts.rs
@@ -92,7 +92,8 @@
 }
 
 impl Held {
-    fn new(last_crash: Time, trials: u32) -> Self {
+    /// A part whose last crash was at `last_crash`, with its next trial at the usual time.
+    pub fn new(last_crash: Time, trials: u32) -> Self {
         let interval = FIRST_TRIAL.saturating_mul(1 << trials.min(16)).min(MAX_TRIAL_INTERVAL);
         Self { last_crash, trial_at: last_crash.after(interval), trials }
     }
@@ -182,17 +183,36 @@
     }
 
     /// Adopts a part that another VM holds off; whether it is new here.
-    pub fn adopt(&mut self, part: Part, last_crash: Time, trials: u32) -> bool {
-        if self.completed.get(&part).is_some_and(|completed| *completed > last_crash) {
+    pub fn adopt(&mut self, part: Part, told: Held) -> bool {
+        if self.completed.get(&part).is_some_and(|completed| *completed > told.last_crash) {
             return false;
         }
-        let told = Held::new(last_crash, trials);
         let known = self.held.get(&part).copied();
         let merged = known.map_or(told, |known| known.later(told));
         self.held.insert(part, merged);
         known.is_none()
     }
 
+    /// Crashes that speak against parts which aren't held off, from the second crash and the
+    /// second request on, with these parts only.
+    pub fn open_evidence(&self) -> impl Iterator<Item = (Run, Time)> {
+        let mut cases = self.cases();
+        cases.retain(|_, case| case.crashes > 1 && case.requests.len() > 1);
+        let mut rows = Vec::new();
+        for incident in self.incidents.values().filter(|incident| !self.is_explained(incident)) {
+            for (run, _) in &incident.runs {
+                let parts = run.shared_parts.iter().copied();
+                let shared_parts: Vec<Part> =
+                    parts.filter(|part| cases.contains_key(part)).collect();
+                if !shared_parts.is_empty() {
+                    rows.push((Run { shared_parts, ..run.clone() }, incident.at));
+                }
+            }
+        }
+        rows.sort_by_key(|(_, at)| std::cmp::Reverse(*at));
+        rows.into_iter()
+    }
+
     /// Decides by the evidence so far; parts that are held off from now on.
     pub fn decide(&mut self, now: Time) -> Vec<Part> {
         self.expire(now);
--- a/src/serve/crash/report.rs
+++ b/src/serve/crash/report.rs
@@ -4,6 +4,8 @@
 //! and VMs restart. Parts that are held off also go to one random VM at a time,
 //! and to each VM that starts, so that they outlast the VMs that saw the crashes.
 
+use std::time::Duration;
+
 use prost::Message;
 
 use super::parts::{Crash, Held, Run};
@@ -80,12 +82,29 @@
     /// Number of requests let through so far.
     #[prost(uint32, tag = "3")]
     pub trials: u32,
+    /// Time until the next one may be let through, in milliseconds; older versions don't say.
+    #[prost(uint32, optional, tag = "4")]
+    pub trial_in_ms: Option<u32>,
 }
 
 impl HeldRow {
     /// The row for a part that is held off.
     pub fn new(part: Part, held: Held, now: Time) -> Self {
-        Self { part: part.0, age_ms: held.last_crash.age_millis(now), trials: held.trials }
+        Self {
+            part: part.0,
+            age_ms: held.last_crash.age_millis(now),
+            trials: held.trials,
+            trial_in_ms: Some(now.age_millis(held.trial_at)),
+        }
+    }
+
+    /// Why and until when the part is held off.
+    pub fn held(&self, now: Time) -> Held {
+        let held = Held::new(now.before_millis(self.age_ms), self.trials);
+        match self.trial_in_ms {
+            Some(left) => Held { trial_at: now.after(Duration::from_millis(left.into())), ..held },
+            None => held,
+        }
     }
 }
 
--- a/src/serve/node.rs
+++ b/src/serve/node.rs
@@ -130,6 +130,7 @@
     actix_rt::spawn(peers.clone().listen(jobs.clone()));
     actix_rt::spawn(peers.clone().announce());
     actix_rt::spawn(peers.clone().announce_crashes());
+    actix_rt::spawn(peers.clone().keep_crashes());
     actix_rt::spawn(peers.clone().announce_origins());
     actix_rt::spawn(poller.clone().run());
     actix_rt::spawn(jobs.clone().dispatch());
--- a/src/serve/poller.rs
+++ b/src/serve/poller.rs
@@ -9,6 +9,7 @@
 use std::time::Duration;
 
 use super::context::Context;
+use super::crash;
 use super::jobs::{Jobs, PENDING_PREFIX, Pending, unix_ms};
 use super::member::{self, MEMBER_PREFIX, Member, owner};
 use super::peers::Peers;
@@ -243,7 +244,11 @@
         let mut members = Vec::new();
         let mut pending = HashMap::new();
         for entry in entries {
-            if entry.key.starts_with(MEMBER_PREFIX) {
+            if entry.key == crash::STORE_KEY {
+                if let Err(error) = crash::read_stored(&self.context, entry) {
+                    unreadable.push(Unreadable::new(entry, error.to_string()));
+                }
+            } else if entry.key.starts_with(MEMBER_PREFIX) {
                 match Member::decode(entry) {
                     Ok(member) => members.push(member::Listed { member, version: entry.version }),
                     Err(error) => unreadable.push(Unreadable::new(entry, error.detail)),
--- a/src/serve/purpose.rs
+++ b/src/serve/purpose.rs
@@ -1,5 +1,6 @@
 //! What a call to the store is for, as a label of the counter of calls.
 
+use super::crash;
 use super::jobs::PENDING_PREFIX;
 use super::member::MEMBER_PREFIX;
 use super::store::Transaction;
@@ -19,6 +20,8 @@
         JobWrite,
         /// Takes a job over.
         TakeOver,
+        /// Keeps what is known of crashes.
+        Crashes,
         /// Reports a storage VM to be retired.
         Retirement,
         /// Relays a peer's call.
@@ -32,6 +35,7 @@
         let put = transaction.puts.first().map(|(key, _)| key);
         match put.or(transaction.deletes.first()) {
             Some(key) if key.starts_with(MEMBER_PREFIX) => Self::Member,
+            Some(key) if key == crash::STORE_KEY => Self::Crashes,
             Some(key) if key.starts_with(PENDING_PREFIX) => Self::TakeOver,
             _ => Self::JobWrite,
         }
@@ -46,6 +50,7 @@
             Self::JobRead => "job read",
             Self::JobWrite => "job write",
             Self::TakeOver => "take-over",
+            Self::Crashes => "crashes",
             Self::Retirement => "retirement",
             Self::Relay => "relay",
         }
--- a/tests/serve_crash_parts.rs
+++ b/tests/serve_crash_parts.rs
@@ -5,7 +5,7 @@
 
 use parsleybeam::clock::Time;
 use parsleybeam::route::Fingerprint;
-use parsleybeam::serve::crash::{Crash, Parts, Reporter, Requests, Run};
+use parsleybeam::serve::crash::{Crash, Held, HeldRow, Parts, Reporter, Requests, Run};
 use parsleybeam::serve::protocol::Part;
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -124,14 +124,17 @@
     assert!(parts.record_completed(&[wrong], NOW).is_empty(), "an answer from before the crashes");
     assert_eq!(parts.record_completed(&[wrong], millis(900)), [wrong]);
     assert!(parts.held_part(&[wrong]).is_none());
-    assert!(!parts.adopt(wrong, millis(3), 0), "a late report of another VM changes nothing");
+    assert!(
+        !parts.adopt(wrong, Held::new(millis(3), 0)),
+        "a late report of another VM changes nothing"
+    );
     assert!(parts.held_part(&[wrong]).is_none());
 }
 
 #[test]
 fn begin_trial_has_a_deadline_that_doubles() {
     let mut parts = Parts::default();
-    assert!(parts.adopt(BAD, NOW, 0));
+    assert!(parts.adopt(BAD, Held::new(NOW, 0)));
     let seconds = |count: u64| NOW.after(Duration::from_secs(count));
     assert!(!parts.begin_trial(BAD, seconds(29)));
     assert!(parts.begin_trial(BAD, seconds(30)));
@@ -158,23 +161,26 @@
         crash(&mut parts, number, number.into(), &[BAD], millis(number + 5));
     }
     assert_eq!(parts.held_part(&[BAD]), before);
-    assert!(!parts.adopt(BAD, millis(9), 0), "told by a VM that doesn't know of the trial");
+    assert!(
+        !parts.adopt(BAD, Held::new(millis(9), 0)),
+        "told by a VM that doesn't know of the trial"
+    );
     assert!(!parts.begin_trial(BAD, seconds(80)));
 }
 
 #[test]
 fn adopt_keeps_the_later_deadline() {
     let mut parts = Parts::default();
-    assert!(parts.adopt(BAD, millis(500), 2));
+    assert!(parts.adopt(BAD, Held::new(millis(500), 2)));
     let before = parts.held_part(&[BAD]);
-    assert!(!parts.adopt(BAD, millis(100), 1));
+    assert!(!parts.adopt(BAD, Held::new(millis(100), 1)));
     assert_eq!(parts.held_part(&[BAD]), before);
 }
 
 #[test]
 fn held_is_forgotten_in_the_end() {
     let mut parts = Parts::default();
-    parts.adopt(BAD, NOW, 0);
+    parts.adopt(BAD, Held::new(NOW, 0));
     parts.decide(NOW.after(Duration::from_secs(5 * 3_600)));
     assert!(parts.held_part(&[BAD]).is_none());
 }
@@ -312,3 +318,46 @@
         assert!(share > 0.95, "seed {seed}: {share} of the sound requests were sent");
     }
 }
+
+/// Guards against evidence that is lost in a kill of all VMs just before a part is held off, and
+/// against evidence that blames sound parts when their completed answers are forgotten.
+#[test]
+fn open_evidence_decides_after_a_kill_of_all() {
+    let mut parts = Parts::default();
+    for number in 0..5 {
+        crash(&mut parts, number, number.into(), &[COMMON, BAD], millis(number));
+    }
+    parts.record_completed(&[COMMON], millis(10));
+    let kept: Vec<(Run, Time)> = parts.open_evidence().collect();
+    assert_eq!(kept.len(), 5);
+    assert!(kept.iter().all(|(run, _)| run.shared_parts == [BAD]), "{kept:?}");
+    let mut next = Parts::default();
+    for (run, at) in kept {
+        next.record_crash(run, Reporter(0), at);
+    }
+    assert_eq!(decide(&mut next, millis(20)), [BAD]);
+    assert_eq!(next.open_evidence().count(), 0, "it is held off now");
+}
+
+/// Guards against writes to the store for each ordinary crash of an upstream.
+#[test]
+fn open_evidence_of_single_crash() {
+    let mut parts = Parts::default();
+    for request in 0..8 {
+        crash(&mut parts, 1, request, &[COMMON, Part(50)], millis(1));
+    }
+    assert_eq!(parts.open_evidence().count(), 0);
+}
+
+/// Guards against a trial that comes again, or at once, after what a VM knows was told or stored.
+#[test]
+fn held_row_keeps_the_time_of_the_next_trial() {
+    let mut parts = Parts::default();
+    parts.adopt(BAD, Held::new(NOW, 0));
+    let due = millis(30_000);
+    assert!(parts.begin_trial(BAD, due));
+    let (part, held) = parts.held().next().expect("it is held off");
+    let told = HeldRow::new(part, held, due).held(due);
+    assert_eq!((told.trial_at, told.trials), (held.trial_at, 1));
+    assert!(told.trial_at > due.after(Duration::from_secs(59)));
+}
