--- a/src/serve/jobs/run.rs
+++ b/src/serve/jobs/run.rs
@@ -173,7 +173,10 @@
                 .await;
         }
         match answer.status {
-            StatusCode::OK => self.read(answer).await,
+            StatusCode::OK if verdict.event_stream => self.read(answer).await,
+            StatusCode::OK => {
+                self.report_failure(&Failure::Sent("the answer is no stream".to_owned())).await
+            }
             StatusCode::UNPROCESSABLE_ENTITY => End::Impossible,
             StatusCode::INTERNAL_SERVER_ERROR => End::Failed,
             _ => End::Broken,
--- a/src/serve/relay.rs
+++ b/src/serve/relay.rs
@@ -15,6 +15,7 @@
 
 use bytes::{Bytes, BytesMut};
 use futures_util::stream::LocalBoxStream;
+use http::StatusCode;
 
 use super::context::Context;
 use super::crash;
@@ -283,38 +284,49 @@
 
     /// Resumes the stream at another upstream; false if that isn't allowed or fails.
     async fn resume(&mut self, reason: &str) -> bool {
-        self.record.reason = reason.to_owned();
-        let deadline_passed = self.admitted.deadline.passed(self.context.now());
-        if deadline_passed || !self.history.may_send(&self.admitted.route) {
-            return false;
-        }
         self.decoder.restart();
         self.turn = None;
         let last = self.decoder.last();
+        self.record.reason = reason.to_owned();
         self.history.tried.push(self.slot.upstream.clone());
         // Close the broken response first: two upstreams must not run the same request.
         self.answer.body.close();
-        let sent = exchange::send(
-            &self.context,
-            &self.admitted,
-            &mut self.history,
-            last,
-            &mut self.record,
-        )
-        .await;
-        match sent {
-            Ok(sent) if sent.answer.status.is_success() => {
+        loop {
+            let deadline_passed = self.admitted.deadline.passed(self.context.now());
+            if deadline_passed || !self.history.may_send(&self.admitted.route) {
+                return false;
+            }
+            let sent = exchange::send(
+                &self.context,
+                &self.admitted,
+                &mut self.history,
+                last,
+                &mut self.record,
+            );
+            let Ok(sent) = sent.await else { return false };
+            if self.goes_on(&sent.answer) {
                 self.log_resumed(&sent.slot, reason, last);
                 self.answer = sent.answer;
                 self.slot = sent.slot;
                 self.pause.reset();
                 self.bound_answer();
-                true
+                return true;
             }
-            Ok(_) | Err(_) => false,
+            let status = sent.answer.status.as_u16();
+            self.record.reason = format!("answered with {status} in place of the stream's rest");
+            sent.slot.record_failure(&self.record.reason);
+            self.history.tried.push(sent.slot.upstream.clone());
         }
     }
 
+    /// Whether an answer is the next part of the stream: only events may follow events.
+    fn goes_on(&self, answer: &Response) -> bool {
+        let request_id = self.admitted.head.request_id.as_deref().unwrap_or_default();
+        let protocol = &self.context.protocol;
+        let classification = protocol.classify(answer.status, &answer.headers, request_id);
+        answer.status == StatusCode::OK && classification.event_stream
+    }
+
     fn log_resumed(&self, next: &Slot, reason: &str, last: Option<u64>) {
         let version = if next.origin == self.slot.origin { "same" } else { "other" };
         metrics::counter!("serve_streams_resumed_total", "by" => "relay", "version" => version)
--- a/standins/src/platform/replica.rs
+++ b/standins/src/platform/replica.rs
@@ -53,6 +53,12 @@
     Whole(usize),
     /// Sends all events, and bytes of this number after the end of the answer.
     Extra(usize),
+    /// Sends this text, with the request's identifier for `{id}`, and closes the connection.
+    Raw(&'static str),
+    /// Sends this many events of an answer without a length, and closes the connection.
+    Unframed(u64),
+    /// The same, and crashes.
+    UnframedCrash(u64),
 }
 
 /// A received request.
@@ -91,6 +97,8 @@
     arrivals: Vec<Instant>,
     crashing_part: Option<CrashingPart>,
     behaviours: VecDeque<Behaviour>,
+    /// Behaviour for requests that resume a stream.
+    resumed: Option<Behaviour>,
     requests: Vec<Request>,
 }
 
@@ -160,6 +168,11 @@
         self.state.lock().behaviours.extend(behaviours);
     }
 
+    /// Sets the behaviour for all requests that resume a stream.
+    pub fn set_resumed(&self, behaviour: Behaviour) {
+        self.state.lock().resumed = Some(behaviour);
+    }
+
     /// Makes each request whose prompt has the part `id`, but not as its last, crash the
     /// replica, which is back after `down_for`.
     pub fn crash_on(&self, id: &str, down_for: Duration) {
@@ -216,18 +229,24 @@
                 return Ok(());
             }
             let crashing = state.crashing_part.clone().filter(|part| part.is_in(&request));
+            let resumed = state.resumed.filter(|_| request.header("last-event-id").is_some());
             let behaviour = match crashing {
                 Some(_) => Behaviour::Crash,
-                None => state.behaviours.pop_front().unwrap_or(Behaviour::Complete),
+                None => {
+                    resumed.or_else(|| state.behaviours.pop_front()).unwrap_or(Behaviour::Complete)
+                }
             };
             state.arrivals.push(Instant::now());
             state
                 .requests
                 .push(Request { executed: behaviour != Behaviour::NotExecuted, ..request.clone() });
-            state.down = behaviour == Behaviour::Crash;
+            state.down |= matches!(behaviour, Behaviour::Crash | Behaviour::UnframedCrash(_));
             (behaviour, crashing.map(|part| part.down_for))
         };
-        if behaviour == Behaviour::Crash {
+        if let Behaviour::UnframedCrash(events) = behaviour {
+            write_unframed(&mut writer, &request, events, pause)?;
+        }
+        if matches!(behaviour, Behaviour::Crash | Behaviour::UnframedCrash(_)) {
             // The first connection unblocks `accept`, after which the listener thread exits.
             while TcpStream::connect(writer.local_addr()?).is_ok() {
                 thread::sleep(Duration::from_millis(1));
@@ -288,6 +307,10 @@
         )
     };
     match behaviour {
+        Behaviour::Raw(text) => {
+            out.write_all(text.replace("{id}", request_id).as_bytes())?;
+            return Ok(false);
+        }
         Behaviour::NotExecuted => {
             out.write_all(empty_response(503, "parsleybeam-not-executed: 1\r\n").as_bytes())?;
             return Ok(true);
@@ -305,6 +328,10 @@
         );
         out.write_all(earlier.as_bytes())?;
     }
+    if let Behaviour::Unframed(events) = behaviour {
+        write_unframed(out, request, events, pause)?;
+        return Ok(false);
+    }
     if let Behaviour::Endless(endless) = behaviour {
         return endless.send(out, request_id, &words);
     }
@@ -385,6 +412,27 @@
     Ok(true)
 }
 
+/// Sends events up to `events` as an answer that ends with its connection.
+fn write_unframed(
+    out: &mut TcpStream,
+    request: &Request,
+    events: u64,
+    pause: Duration,
+) -> io::Result<()> {
+    let request_id = request.header("parsleybeam-request-id").unwrap_or_default();
+    let head = format!(
+        "HTTP/1.1 200 OK\r\nparsleybeam-request-id: {request_id}\r\n\
+         parsleybeam-response-signature: {SIGNATURE}\r\ncontent-type: text/event-stream\r\n\r\n"
+    );
+    out.write_all(head.as_bytes())?;
+    let last_event_id = request.header("last-event-id").and_then(|text| text.parse().ok());
+    for id in last_event_id.unwrap_or(0) + 1..=events {
+        thread::sleep(pause);
+        out.write_all(format!("id: {id}\ndata: event {id}\n\n").as_bytes())?;
+    }
+    Ok(())
+}
+
 /// Cuts a response once no further one of its `events` could be sent for `UNREAD_TIMEOUT`.
 fn cut_once_unread(out: TcpStream, sent: Arc<AtomicU64>, events: u64) {
     thread::spawn(move || {
