Pass no status on that isn't final (MIXED)

What callers saw: a replica's 101 came as the answer to an ordinary request, and so would 600 to 999.

Cause: hyper takes 101 for the end of the exchange; nothing looked at the number. Codes below 100, of two or four digits and of another protocol version were refused by hyper already.

Change: a status outside 200 to 599 is a failed attempt.

odd_status_lines_are_no_success failed before with 101. The test of early answers that are reset (early_answer_reset_never_looks_complete, 12 forms) held before and is kept: this can't happen here.

--- a/src/serve/exchange.rs
+++ b/src/serve/exchange.rs
@@ -39,6 +39,9 @@
 use crate::route::Fingerprint;
 use crate::transport::{Due, Failure, Response};
 
+/// Status codes of answers; others are interim or none.
+const FINAL_STATUSES: std::ops::RangeInclusive<u16> = 200..=599;
+
 /// A response to the caller.
 pub struct Reply {
     /// HTTP status code.
@@ -364,9 +367,13 @@
             }
             continue;
         }
-        if !classification.matches_request {
+        let is_final = FINAL_STATUSES.contains(&answer.status.as_u16());
+        if !classification.matches_request || !is_final {
             context.pool.close_idle(slot.address);
-            let reason = "the answer belongs to another request".to_owned();
+            let reason = match is_final {
+                true => "the answer belongs to another request".to_owned(),
+                false => format!("{} is no final status", answer.status.as_u16()),
+            };
             record_failed_run(context, admitted, history, upstream, reason, record)?;
             continue;
         }
