--- a/src/serve/crash/mod.rs
+++ b/src/serve/crash/mod.rs
@@ -42,6 +42,8 @@
 
 /// Connect timeout of the probe whether an upstream is still running.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(300);
+/// Time for which a connection must stay open to show that an upstream lives.
+const OUTLIVES_PAUSE: Duration = Duration::from_millis(10);
 /// Maximum number of own crashes, and of crashes known from others, in one report.
 const MAX_ROWS: usize = 64;
 /// Minimum time between two decisions about parts.
@@ -249,6 +251,18 @@
     true
 }
 
+/// Whether an upstream lives on after an answer that ended with its connection. Without a length
+/// or chunks such an end is only a claim: a process that dies ends its connections in the same way.
+pub async fn outlives_answer(context: &Context, slot: &Slot) -> bool {
+    let opened = context.pool.open(slot.address, PROBE_TIMEOUT).await;
+    if opened.is_err() {
+        return false;
+    }
+    // A process that is dying may accept a connection and close it.
+    actix_rt::time::sleep(OUTLIVES_PAUSE).await;
+    context.pool.has_idle_opened_by(slot.address, Time::NEVER)
+}
+
 async fn accepts_connections(context: &Context, address: SocketAddr) -> bool {
     context.paths.reaches(address, PROBE_TIMEOUT).await
 }
--- a/src/serve/exchange.rs
+++ b/src/serve/exchange.rs
@@ -402,7 +402,12 @@
         return Ok(Some(Reply { status, headers, body }));
     }
     answer.body.bound(reading::whole(admitted, history));
-    let body = match reading::collect(context, &mut answer.body, admitted.deadline).await {
+    let mut collected = reading::collect(context, &mut answer.body, admitted.deadline).await;
+    if collected.is_ok() && !answer.framed && !crash::outlives_answer(context, &slot).await {
+        let reason = "the upstream was gone at the end of its answer";
+        collected = Err(Cut::Failed(Failure::Sent(reason.to_owned())));
+    }
+    let body = match collected {
         Ok(body) => body,
         Err(Cut::Shortage) => {
             reading::record_shortage(&slot, request_id);
--- a/src/serve/jobs/run.rs
+++ b/src/serve/jobs/run.rs
@@ -220,6 +220,10 @@
             Ok(()) if !answer.framed && self.progress.last_event_id != last_event_id_before => {
                 End::Broken
             }
+            Ok(()) if !answer.framed && !crash::outlives_answer(self.context, &self.slot).await => {
+                let reason = "the upstream was gone at the end of its answer";
+                self.report_failure(&Failure::Sent(reason.to_owned())).await
+            }
             Ok(()) if !self.progress.events.is_empty() => End::Completed,
             Ok(()) => self.report_failure(&Failure::Sent("the stream has no event".into())).await,
             Err(error) => self.report_failure(&Failure::Sent(error.to_string())).await,
--- a/src/serve/relay.rs
+++ b/src/serve/relay.rs
@@ -126,6 +126,9 @@
                     continue;
                 }
                 Ok(None) => match self.decoder.finish() {
+                    Ok(()) if !self.is_whole().await => {
+                        Failure::Sent("the upstream was gone at the end of its answer".to_owned())
+                    }
                     Ok(()) => {
                         self.finished = true;
                         let parts = &self.admitted.head.shared_parts;
@@ -319,6 +322,11 @@
         }
     }
 
+    /// Whether the end of the answer is that of the stream.
+    async fn is_whole(&self) -> bool {
+        self.answer.framed || crash::outlives_answer(&self.context, &self.slot).await
+    }
+
     /// Whether an answer is the next part of the stream: only events may follow events.
     fn goes_on(&self, answer: &Response) -> bool {
         let request_id = self.admitted.head.request_id.as_deref().unwrap_or_default();
