--- a/src/serve/crash/mod.rs
+++ b/src/serve/crash/mod.rs
@@ -34,6 +34,7 @@
 use super::member::owner;
 use super::protocol::Part;
 use super::slot::Slot;
+use super::upstream::Key;
 use crate::clock::Time;
 use crate::emit;
 use crate::event::Event;
@@ -73,17 +74,37 @@
 impl Broken {
     /// The run, if the upstream crashed.
     fn run(&self) -> Run {
-        let mut hasher = SipHasher13::new();
-        hasher.write(self.upstream.as_str().as_bytes());
-        hasher.write_u64(self.started_unix_ms);
         Run {
-            crash: Crash(hasher.finish()),
+            crash: crash_of(&self.upstream, self.started_unix_ms),
             fingerprint: self.fingerprint,
             shared_parts: self.shared_parts.clone(),
         }
     }
 }
 
+/// The crash of an upstream's process, of which there is one at most.
+fn crash_of(upstream: &Upstream, started_unix_ms: u64) -> Crash {
+    let mut hasher = SipHasher13::new();
+    hasher.write(upstream.as_str().as_bytes());
+    hasher.write_u64(started_unix_ms);
+    Crash(hasher.finish())
+}
+
+/// Doubts that upstreams with one of `crashes` are the processes that their entries name.
+fn doubt(context: &Context, crashes: &BTreeSet<Crash>, now: Time) {
+    if crashes.is_empty() {
+        return;
+    }
+    let mut table = context.table.borrow_mut();
+    let crashed = table.iter().filter(|(_, entry)| {
+        let registration = &entry.registration;
+        let crash = crash_of(&registration.upstream, registration.started_unix_ms);
+        entry.doubted_at.is_none() && crashes.contains(&crash)
+    });
+    let crashed: Vec<Key> = crashed.map(|(key, _)| key).collect();
+    crashed.into_iter().for_each(|key| table.doubt(key, now));
+}
+
 /// What this VM knows about crashes of upstreams.
 #[derive(Debug, Default)]
 pub struct Crashes {
@@ -281,6 +302,7 @@
         "crash" => format!("{:016x}", run.crash.0), "shared_parts" => parts.join(","),
         "ejected_by_others" => context.table.borrow().ejected_by_others(&broken.upstream));
     let (now, reporter) = (context.now(), reporter(context.vm().as_str()));
+    doubt(&context, &BTreeSet::from([run.crash]), now);
     let change = context.crashes.borrow_mut().record_own(run, reporter, now);
     log_change(&context, change);
     context.crash_seen.notify_one();
@@ -380,6 +402,8 @@
             log_change(context, Change { held: vec![Part(row.part)], ..Change::default() });
         }
     }
+    let crashes = report.crashes.iter().map(|row| Crash(row.crash)).collect();
+    doubt(context, &crashes, now);
     for row in &report.crashes {
         let Some(run) = row.run() else { continue };
         let at = now.before_millis(row.age_ms);
--- a/src/serve/identity.rs
+++ b/src/serve/identity.rs
@@ -6,7 +6,10 @@
 //! at its other end; an entry read before may be that of an earlier process.
 //!
 //! While the store can't be asked, an upstream is believed to be the same as long as no run or
-//! connect has failed there since its last first event.
+//! connect has failed there since its last first event, and no VM has seen its process gone since
+//! that was last shown to be the same: by its entry, or by a read of the store while a
+//! connection was open that is younger. That it answers again shows nothing, as the next process
+//! does so too.
 //!
 //! Load: streams that go on without an older connection to their upstream, one read of the store
 //! each, and none while it is away. Items go on far more often, and by `Slot::may_be_another`.
@@ -59,13 +62,29 @@
     let is_same = entry.is_some_and(|entry| {
         entry.process() == slot.process() && Origin::of(&entry) == slot.origin
     });
-    if is_same { Identity::Confirmed(asked_at) } else { Identity::Other }
+    if !is_same {
+        return Identity::Other;
+    }
+    context.table.borrow_mut().confirm(slot.key);
+    Identity::Confirmed(asked_at)
+}
+
+/// Confirms the upstreams that a read of the store, sent at `sent_at`, shows to be the processes
+/// that their entries name.
+pub(super) fn confirm(context: &Context, sent_at: Time) {
+    let doubted = context.table.borrow().doubted();
+    for (key, address, doubted_at) in doubted {
+        if context.pool.has_idle_opened_within(address, doubted_at, sent_at) {
+            context.table.borrow_mut().confirm(key);
+        }
+    }
 }
 
 /// The process that is believed to be there while the store can't be asked.
 fn believed(context: &Context, slot: &Slot) -> Identity {
     let table = context.table.borrow();
-    let has_failed =
-        table.get(slot.key).is_none_or(|entry| entry.failures > 0 || entry.peer_failures > 0);
-    if has_failed { Identity::Other } else { Identity::Confirmed(Time::NEVER) }
+    let is_doubted = table.get(slot.key).is_none_or(|entry| {
+        entry.failures > 0 || entry.peer_failures > 0 || entry.doubted_at.is_some()
+    });
+    if is_doubted { Identity::Other } else { Identity::Confirmed(Time::NEVER) }
 }
--- a/src/serve/poller.rs
+++ b/src/serve/poller.rs
@@ -10,6 +10,7 @@
 
 use super::context::Context;
 use super::crash;
+use super::identity;
 use super::jobs::{Jobs, PENDING_PREFIX, Pending, unix_ms};
 use super::member::{self, MEMBER_PREFIX, Member, owner};
 use super::peers::Peers;
@@ -138,6 +139,7 @@
                 "took_ms" => sent_at.until(now).as_millis() as u64);
         }
         self.apply_upstreams(&snapshot, sent_at, now);
+        identity::confirm(&self.context, sent_at);
         self.apply_configuration(&snapshot);
         self.context.apply_cold(&snapshot, sent_at);
         self.context.apply_evacuations(&snapshot, sent_at);
--- a/src/serve/slot.rs
+++ b/src/serve/slot.rs
@@ -168,6 +168,7 @@
     /// Records that the upstream was gone when a request was to be sent.
     pub fn record_gone(&self) {
         self.context.suspect_cold(self.process(), "gone");
+        self.context.table.borrow_mut().doubt(self.key, self.context.now());
     }
 
     /// Whether the upstream still takes requests, as far as this VM may know.
--- a/src/serve/upstream.rs
+++ b/src/serve/upstream/mod.rs
@@ -1,5 +1,7 @@
 //! Table of the upstreams with their load and health.
 
+mod health;
+
 use std::collections::HashMap;
 use std::hash::Hasher;
 use std::net::SocketAddr;
@@ -106,6 +108,9 @@
     pub failures: u32,
     /// When it last failed at this VM.
     pub failed_at: Time,
+    /// When it was seen gone, by any VM, since it was last shown to be the process that its entry
+    /// names.
+    pub doubted_at: Option<Time>,
     /// Whether its entry is missing and it is kept for a while.
     is_missing: bool,
 }
@@ -129,6 +134,7 @@
             first_event_ms: 0.0,
             failures: 0,
             failed_at: Time(0),
+            doubted_at: None,
             is_missing: false,
         }
     }
@@ -260,6 +266,7 @@
             if restarted {
                 entry.ejected_until = Time(0);
                 entry.failures = 0;
+                entry.doubted_at = None;
                 entry.first_event_ms = 0.0;
             }
             return false;
@@ -394,64 +401,11 @@
         }
     }
 
-    /// Replaces the peer failure counts; `failed` names each upstream once per peer that
-    /// has ejected it.
-    pub fn set_peer_failures<I>(&mut self, failed: I)
-    where
-        I: IntoIterator<Item = u32>,
-    {
-        for entry in self.entries.values_mut() {
-            entry.peer_failures = 0;
-        }
-        for number in failed {
-            if let Some(key) = self.by_number.get(&number) {
-                self.entries[*key].peer_failures += 1;
-            }
-        }
-    }
-
-    /// Numbers of the upstreams that this VM has ejected at `now`.
-    pub fn ejected(&self, now: Time) -> Vec<u32> {
-        let ejected = self.entries.values().filter(|entry| !entry.ejected_until.passed(now));
-        ejected.map(|entry| entry.number).collect()
-    }
-
-    /// Ends all ejections.
-    pub fn clear_ejections(&mut self) {
-        for entry in self.entries.values_mut() {
-            entry.ejected_until = Time(0);
-            entry.failures = 0;
-        }
-    }
-
     /// Whether an upstream is registered with this address.
     pub fn has_address(&self, address: SocketAddr) -> bool {
         self.entries.values().any(|entry| entry.registration.address == address)
     }
 
-    /// Number of other VMs that have ejected an upstream.
-    pub fn ejected_by_others(&self, upstream: &Upstream) -> u32 {
-        let entry = self.by_name.get(upstream).and_then(|key| self.entries.get(*key));
-        entry.map_or(0, |entry| entry.peer_failures)
-    }
-
-    /// Records a failure of an upstream; returns the time until which it is ejected.
-    pub fn record_failure(&mut self, key: Key, now: Time) -> Option<Time> {
-        let entry = self.entries.get_mut(key)?;
-        let span = EJECTION.saturating_mul(1 << entry.failures.min(4)).min(MAX_EJECTION);
-        entry.failures += 1;
-        entry.failed_at = now;
-        entry.ejected_until = entry.ejected_until.max(now.after(span));
-        Some(entry.ejected_until)
-    }
-
-    /// Records a first event after this many milliseconds.
-    pub fn record_first_event(&mut self, key: Key, first_event_ms: f64) {
-        let Some(entry) = self.entries.get_mut(key) else { return };
-        entry.failures = 0;
-        entry.first_event_ms += (first_event_ms - entry.first_event_ms) * SAMPLE_WEIGHT;
-    }
-
     /// Timing of a service's upstreams.
     pub fn timing(&self, service: &Service) -> Timing {
         self.timings.get(service).copied().unwrap_or(Timing::INITIAL)
--- a/src/transport/pool.rs
+++ b/src/transport/pool.rs
@@ -211,6 +211,13 @@
         self.idle.borrow().get(&address).is_some_and(|idle| idle.iter().any(is_usable))
     }
 
+    /// Whether an idle connection to `address` is kept that was opened after `after`, and by `by`.
+    pub fn has_idle_opened_within(&self, address: SocketAddr, after: Time, by: Time) -> bool {
+        let now = self.clock.now();
+        let is_within = |idle: &Idle| idle.is_usable(by, now) && idle.connection.opened_at > after;
+        self.idle.borrow().get(&address).is_some_and(|idle| idle.iter().any(is_within))
+    }
+
     /// Closes all idle connections to `address`.
     pub fn close_idle(&self, address: SocketAddr) {
         self.idle.borrow_mut().remove(&address);
