--- a/src/serve/reserve.rs
+++ b/src/serve/reserve.rs
@@ -106,7 +106,7 @@
         self.kept * self.deputies as f64
     }
 
-    /// Requests that one deputy may grant in a window, for a claim and for those of lower rank.
+    /// Requests in a window up to which one deputy grants a claim.
     fn up_to(self, claim: Claim) -> f64 {
         match claim {
             Claim::Limit => self.kept,
