--- a/src/serve/exchange.rs
+++ b/src/serve/exchange.rs
@@ -21,12 +21,11 @@
 use super::origin::{Origin, Stream};
 use super::peers::Peers;
 use super::protocol::{Head, Metadata, Request};
-use super::rate::Grant;
 use super::reading::{self, Cut};
 use super::record::Record;
 use super::refusal::{
     OTHER_VM_RETRY, VERSION_GONE_RETRY, check_deadline_and_contact, check_latency, check_memory,
-    check_parts, check_quarantine, check_version, no_upstream_error, retry_after,
+    check_parts, check_quarantine, check_rate, check_version, no_upstream_error, retry_after,
 };
 use super::relay::Relay;
 use super::resume::{self, Resumed};
@@ -224,7 +223,7 @@
     };
     if let Some(tenant) = tenant {
         record.organisation = tenant.organisation.to_string();
-        enforce_rate(peers, tenant, version.is_some(), record).await?;
+        check_rate(peers, tenant, version.is_some(), record).await?;
     }
     Ok(Admitted {
         organisation: tenant.map(|tenant| tenant.organisation.clone()),
@@ -268,23 +267,6 @@
     Ok(Some(origin))
 }
 
-async fn enforce_rate(
-    peers: &Rc<Peers>,
-    tenant: &Tenant,
-    is_resumed: bool,
-    record: &mut Record,
-) -> Result<()> {
-    if tenant.rate_per_s <= 0.0 {
-        return Ok(());
-    }
-    let taken = peers.take_token(tenant, is_resumed).await;
-    record.token = taken.source;
-    record.token_refusals = taken.refusals;
-    let Grant::Exceeded(wait) = taken.grant else { return Ok(()) };
-    let detail = format!("{} has used up its rate and burst", tenant.organisation);
-    Err(Error::new(Kind::RateExceeded, detail).retry_after(wait))
-}
-
 /// Sends a request until an upstream responds; `resume` is the last event of a
 /// broken stream that the caller has already received.
 pub(super) async fn send(
--- a/src/serve/refusal.rs
+++ b/src/serve/refusal.rs
@@ -3,13 +3,18 @@
 //! An error of a request that has not run says when to come back; once the request may have
 //! run, an error says only that its outcome is unknown.
 
+use std::rc::Rc;
 use std::time::Duration;
 
+use super::configuration::Tenant;
 use super::context::Context;
 use super::crash::{self, Refusal};
 use super::exchange::{Admitted, History};
+use super::peers::Peers;
 use super::place::{self, Choice, Room};
 use super::protocol::Head;
+use super::rate::Grant;
+use super::record::Record;
 use crate::clock::Time;
 use crate::error::{Error, Kind, Result};
 
@@ -168,3 +173,21 @@
     }
     Error::new(Kind::NoUpstream, detail).retry_after(wait)
 }
+
+/// Takes a token of an organisation, for a new request or for a stream that is taken up.
+pub(super) async fn check_rate(
+    peers: &Rc<Peers>,
+    tenant: &Tenant,
+    is_resumed: bool,
+    record: &mut Record,
+) -> Result<()> {
+    if tenant.rate_per_s <= 0.0 {
+        return Ok(());
+    }
+    let taken = peers.take_token(tenant, is_resumed).await;
+    record.token = taken.source;
+    record.token_refusals = taken.refusals;
+    let Grant::Exceeded(wait) = taken.grant else { return Ok(()) };
+    let detail = format!("{} has used up its rate and burst", tenant.organisation);
+    Err(Error::new(Kind::RateExceeded, detail).retry_after(wait))
+}
