--- a/review/cases-3.rs
+++ b/review/cases-3.rs
@@ -13,7 +13,10 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
-use fleet::{Client, Fleet, JADRANKA, Record, VESIVERKKO, call, caller_headers, get, job};
+use fleet::{
+    Client, Fleet, JADRANKA, Record, VESIVERKKO, Versioned, call, caller_headers, get, job,
+    read_head, read_to_break,
+};
 
 /// Kept connections with online requests.
 const ONLINE_CLIENTS: usize = 8;
@@ -33,10 +36,10 @@
     let root = std::env::current_dir().unwrap_or_else(|_| PathBuf::from("."));
     let outcome = match name.as_str() {
         "extra-refusals" => extra_refusals(&root, trouble, &record),
+        "versions" => versions(&root, trouble, &record),
         "slow-readers" => slow_readers(&root, trouble, &record),
         "slow-replicas" => slow_replicas(&root, trouble, &record),
         "large-job" => large_job(&root, trouble, &record),
-        "cap" => cap(&root, trouble, &record),
         _ => Err(io::Error::other("no such case")),
     };
     let (line, code) = match outcome {
@@ -215,7 +218,7 @@
     const EXTRA_EVERY: usize = 34;
     let fleet = Fleet::start(root, 3, 9, &JADRANKA, record)?;
     fleet.work.faulty.store(FAULTY, Ordering::Relaxed);
-    let ends = Instant::now() + Duration::from_secs(60);
+    let ends = Instant::now() + Duration::from_secs(90);
     let client = |client: u64| {
         let (record, address) = (record.clone(), fleet.vms[client as usize % 3].caller);
         thread::spawn(move || {
@@ -247,13 +250,13 @@
         })
     };
     let clients: Vec<_> = (0..CLIENTS).map(client).collect();
-    while trouble && Instant::now() + Duration::from_secs(10) < ends {
+    while trouble && Instant::now() + Duration::from_secs(8) < ends {
         fleet.work.extra_every.store(EXTRA_EVERY, Ordering::Relaxed);
         record.add("some replicas send extra answers");
         thread::sleep(Duration::from_secs(5));
         fleet.work.extra_every.store(0, Ordering::Relaxed);
         record.add("no replica sends extra answers");
-        thread::sleep(Duration::from_secs(5));
+        thread::sleep(Duration::from_secs(3));
     }
     for client in clients {
         let _ = client.join();
@@ -286,6 +289,110 @@
     }))
 }
 
+/// Replicas that crash, are back under their ids with another version of their software, and
+/// crash once more.
+fn versions(root: &Path, trouble: bool, record: &Record) -> Outcome {
+    const REPLICAS: usize = 9;
+    // Two in nine replicas crash at a time.
+    const CRASHING: usize = 2;
+    const CLIENTS: u64 = 36;
+    const PAUSE: Duration = Duration::from_millis(150);
+    const DOWN: Duration = Duration::from_millis(400);
+    const UP: Duration = Duration::from_millis(700);
+    const EPISODES: usize = 8;
+    let fleet = Fleet::start(root, 3, 0, &JADRANKA, record)?;
+    let zones = ["split-luka", "zadar-kali", "sibenik-obala"];
+    let replicas: Vec<Arc<Versioned>> = (0..REPLICAS)
+        .map(|index| {
+            let id = format!("i-7f3a91c{index:x}");
+            Versioned::new(&id, zones[index % 3], &fleet.store, record)
+        })
+        .collect();
+    for replica in &replicas {
+        replica.start(1)?;
+    }
+    let beating = replicas.clone();
+    thread::spawn(move || {
+        for sequence in 1.. {
+            thread::sleep(Duration::from_millis(1_200));
+            beating.iter().for_each(|replica| replica.register(sequence));
+        }
+    });
+    thread::sleep(Duration::from_secs(3));
+    let stop = Arc::<AtomicBool>::default();
+    let (streams, mixed) = (Arc::<AtomicUsize>::default(), Arc::<AtomicUsize>::default());
+    let client = |client: u64| {
+        let (record, address) = (record.clone(), fleet.vms[client as usize % 3].caller);
+        let (stop, streams, mixed) = (stop.clone(), streams.clone(), mixed.clone());
+        thread::spawn(move || {
+            thread::sleep(PAUSE * client as u32 / CLIENTS as u32);
+            let (mut number, mut kept) = (0_u64, None);
+            while !stop.load(Ordering::Relaxed) {
+                number += 1;
+                let id = format!("0f{client:04x}{number:010x}");
+                record.add(format!("sent {id}"));
+                let connected = match kept.take() {
+                    Some(kept) => Ok(kept),
+                    None => Client::connect(address, Duration::from_secs(6)),
+                };
+                let answered = connected.and_then(|mut connection: Client| {
+                    // No two requests are alike: those that crash replicas are another matter.
+                    connection.send("POST", "/stream/1", &caller_headers(&id), id.as_bytes())?;
+                    let head = read_head(&mut connection.reader)?;
+                    let (body, whole) = read_to_break(&mut connection.reader, &head);
+                    Ok((connection, head.status(), body, whole))
+                });
+                match answered {
+                    Ok((connection, status, body, whole)) => {
+                        let text = String::from_utf8_lossy(&body).into_owned();
+                        let mut made_by: Vec<&str> = text
+                            .lines()
+                            .filter_map(|line| line.strip_prefix("data: ")?.split(' ').next())
+                            .collect();
+                        made_by.dedup();
+                        let by = made_by.join(" ");
+                        record.add(format!("answered {id} {status}, whole: {whole}, by {by}"));
+                        streams.fetch_add(1, Ordering::Relaxed);
+                        if made_by.len() > 1 {
+                            mixed.fetch_add(1, Ordering::Relaxed);
+                        }
+                        kept = whole.then_some(connection);
+                    }
+                    Err(error) => record.add(format!("no answer {id}: {error}")),
+                }
+                thread::sleep(PAUSE);
+            }
+        })
+    };
+    let clients: Vec<_> = (0..CLIENTS).map(client).collect();
+    thread::sleep(Duration::from_secs(3));
+    for episode in 0..EPISODES {
+        let crashing = |at: usize| &replicas[(episode * CRASHING + at) % REPLICAS];
+        if trouble {
+            let version = 2 + (episode * CRASHING / REPLICAS) as u32;
+            (0..CRASHING).for_each(|at| crashing(at).crash());
+            thread::sleep(DOWN);
+            for at in 0..CRASHING {
+                crashing(at).start(version)?;
+            }
+            thread::sleep(UP);
+            (0..CRASHING).for_each(|at| crashing(at).crash());
+            thread::sleep(DOWN);
+            for at in 0..CRASHING {
+                crashing(at).start(version)?;
+            }
+        }
+        thread::sleep(Duration::from_secs(7));
+    }
+    stop.store(true, Ordering::Relaxed);
+    for client in clients {
+        let _ = client.join();
+    }
+    let (streams, mixed) = (streams.load(Ordering::Relaxed), mixed.load(Ordering::Relaxed));
+    record.add(format!("{streams} streams, {mixed} with events of two versions"));
+    Ok((mixed > 2).then(|| format!("ORDER: {mixed} streams hold events of two versions")))
+}
+
 /// Clients that read the results of a finished job slowly.
 fn slow_readers(root: &Path, trouble: bool, record: &Record) -> Outcome {
     const READERS: usize = 200;
@@ -435,43 +542,3 @@
     let next = text.split("\"next\":").nth(1).unwrap_or_default();
     next.split([',', '}']).next().unwrap_or_default().parse().unwrap_or(0)
 }
-
-/// Two jobs of one tenant, each of which fits alone, while the store is slow.
-fn cap(root: &Path, trouble: bool, record: &Record) -> Outcome {
-    // The site's store answers in 4 ms; slow, it takes 60 times as long.
-    const SLOW_MS: u64 = 240;
-    const ITEMS: usize = 200;
-    const TOKENS: u64 = 3_600;
-    let fleet = Fleet::start(root, 3, 9, &JADRANKA, record)?;
-    // No item is finished before the second answer.
-    fleet.work.hold_items.store(true, Ordering::Relaxed);
-    thread::sleep(Duration::from_secs(2));
-    if trouble {
-        fleet.store.answer_ms.store(SLOW_MS, Ordering::Relaxed);
-        record.add(format!("the store answers in {SLOW_MS} ms"));
-    }
-    thread::sleep(Duration::from_millis(500));
-    let waiting = thread::scope(|scope| {
-        let jobs: Vec<_> = (0..2)
-            .map(|number| {
-                let fleet = &fleet;
-                scope.spawn(move || {
-                    thread::sleep(Duration::from_millis(100 * number as u64));
-                    let name = format!("7c41e09b{number:08x}");
-                    let body = job(ITEMS, &format!("e5b2907c{number:04x}"), &[b'q'; 1_000], TOKENS);
-                    submit(fleet, number, &name, &body)
-                })
-            })
-            .collect();
-        let mut waiting = 0;
-        for job in jobs {
-            let status = job.join().map_err(|_| io::Error::other("a client failed"))??;
-            waiting += if status == 202 { ITEMS as u64 * TOKENS } else { 0 };
-        }
-        Ok::<u64, io::Error>(waiting)
-    })?;
-    let allowed = JADRANKA.cap as f64 * 1.1;
-    record.add(format!("{waiting} tokens of accepted items wait, {allowed:.0} may"));
-    let is_broken = waiting as f64 > allowed;
-    Ok(is_broken.then(|| format!("QUOTA: {waiting} tokens wait at a 202, {allowed:.0} may")))
-}
--- a/review/fleet-3.rs
+++ b/review/fleet-3.rs
@@ -10,7 +10,7 @@
 use std::net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream, UdpSocket};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
-use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::{Duration, Instant};
@@ -335,21 +335,15 @@
 /// The platform's store: linearizable, with the limits of its page.
 pub struct Store {
     items: Mutex<(u64, BTreeMap<String, Item>)>,
-    /// Time an answer takes.
-    pub answer_ms: AtomicU64,
-    /// Number of write calls.
-    pub writes: AtomicU64,
 }
 
-pub const VALUE_BYTES: usize = 1_048_576;
+/// Time that an answer of the store takes.
+const STORE_ANSWER: Duration = Duration::from_millis(4);
+const VALUE_BYTES: usize = 1_048_576;
 
 impl Store {
     pub fn start() -> io::Result<(Arc<Store>, SocketAddr)> {
-        let store = Arc::new(Store {
-            items: Mutex::new((100, BTreeMap::new())),
-            answer_ms: AtomicU64::new(4),
-            writes: AtomicU64::new(0),
-        });
+        let store = Arc::new(Store { items: Mutex::new((100, BTreeMap::new())) });
         let listener = TcpListener::bind("127.0.0.1:0")?;
         let address = listener.local_addr()?;
         let served = store.clone();
@@ -369,15 +363,12 @@
 
     fn call(&self, head: Head, reader: &mut Reader, writer: &mut TcpStream) -> io::Result<()> {
         let body = read_body(reader, &head)?;
-        thread::sleep(Duration::from_millis(self.answer_ms.load(Ordering::Relaxed)));
+        thread::sleep(STORE_ANSWER);
         let (path, query) = head.target().split_once('?').unwrap_or((head.target(), ""));
         let (status, text) = match (head.method(), path) {
             ("GET", "/-/kv-key") => self.key(query),
             ("GET", "/-/kv-range") => self.range(query),
-            ("POST", "/-/kv-txn") => {
-                self.writes.fetch_add(1, Ordering::Relaxed);
-                self.change(&String::from_utf8_lossy(&body))
-            }
+            ("POST", "/-/kv-txn") => self.change(&String::from_utf8_lossy(&body)),
             _ => ("404 Not Found", "{}".to_owned()),
         };
         answer(writer, status, "Content-Type: application/json\r\n", text.as_bytes())
@@ -507,8 +498,6 @@
     pub faulty: AtomicUsize,
     pub extra_every: AtomicUsize,
     spoilt: AtomicUsize,
-    /// Whether items wait before they begin.
-    pub hold_items: AtomicBool,
 }
 
 impl Work {
@@ -523,7 +512,6 @@
             faulty: AtomicUsize::new(0),
             extra_every: AtomicUsize::new(0),
             spoilt: AtomicUsize::new(0),
-            hold_items: AtomicBool::new(false),
         })
     }
 }
@@ -620,9 +608,6 @@
             *extra = self.is_spoilt();
             return Ok(());
         }
-        while work.hold_items.load(Ordering::Relaxed) {
-            thread::sleep(Duration::from_millis(20));
-        }
         let start = format!(
             "HTTP/1.1 200 OK\r\n{own}Content-Type: text/event-stream\r\n\
              Transfer-Encoding: chunked\r\n\r\n"
@@ -648,6 +633,163 @@
     }
 }
 
+/// A replica that can crash and start again under its id, with another version of its software.
+pub struct Versioned {
+    id: String,
+    zone: &'static str,
+    store: Arc<Store>,
+    record: Record,
+    state: Mutex<Process>,
+}
+
+#[derive(Default)]
+struct Process {
+    /// Number of the process; 0: none has begun.
+    number: u64,
+    is_up: bool,
+    version: u32,
+    born_ms: u64,
+    address: Option<SocketAddr>,
+    connections: Vec<TcpStream>,
+}
+
+/// Events of a stream and the pause after each.
+const STREAM_EVENTS: u64 = 34;
+const STREAM_PAUSE: Duration = Duration::from_millis(20);
+
+impl Versioned {
+    pub fn new(id: &str, zone: &'static str, store: &Arc<Store>, record: &Record) -> Arc<Self> {
+        let (id, store, record) = (id.to_owned(), store.clone(), record.clone());
+        Arc::new(Self { id, zone, store, record, state: Mutex::default() })
+    }
+
+    /// Starts a process of `version`: it registers before it takes requests.
+    pub fn start(self: &Arc<Self>, version: u32) -> io::Result<()> {
+        let mut state = self.state.lock().unwrap();
+        let address = state.address.unwrap_or(SocketAddr::from(([127, 0, 0, 1], 0)));
+        let listener = TcpListener::bind(address)?;
+        listener.set_nonblocking(true)?;
+        state.address = Some(listener.local_addr()?);
+        state.number += 1;
+        (state.is_up, state.version, state.born_ms) = (true, version, unix_ms());
+        let number = state.number;
+        drop(state);
+        self.register(0);
+        self.record.add(format!("{} starts as v{version}", self.id));
+        let replica = self.clone();
+        thread::spawn(move || {
+            while replica.is_process(number) {
+                let Ok((stream, _)) = listener.accept() else {
+                    thread::sleep(Duration::from_millis(2));
+                    continue;
+                };
+                let _ = stream.set_nonblocking(false);
+                if let Ok(kept) = stream.try_clone() {
+                    replica.state.lock().unwrap().connections.push(kept);
+                }
+                let replica = replica.clone();
+                let builder = thread::Builder::new().stack_size(256 << 10);
+                let _ = builder.spawn(move || replica.serve(stream, version));
+            }
+        });
+        Ok(())
+    }
+
+    /// Ends the process: nobody listens and its connections are closed.
+    pub fn crash(&self) {
+        let mut state = self.state.lock().unwrap();
+        state.is_up = false;
+        for connection in state.connections.drain(..) {
+            let _ = connection.shutdown(std::net::Shutdown::Both);
+        }
+        self.record.add(format!("{} crashes", self.id));
+    }
+
+    fn is_process(&self, number: u64) -> bool {
+        let state = self.state.lock().unwrap();
+        state.is_up && state.number == number
+    }
+
+    /// Writes the replica's entry, if its process runs.
+    pub fn register(&self, sequence: u64) {
+        let state = self.state.lock().unwrap();
+        let Process { is_up: true, version, born_ms, address: Some(address), .. } = &*state else {
+            return;
+        };
+        let zone = self.zone;
+        self.store.put(
+            &format!("servers/{}", self.id),
+            &format!(
+                "{{\"service\":\"huvo11a\",\"address\":\"{address}\",\"zone\":\"{zone}\",\
+                 \"version\":\"v{version}\",\"slots\":8,\"state\":\"ready\",\"cold_left_ms\":0,\
+                 \"sequence\":{sequence},\"born\":{born_ms}}}"
+            ),
+        );
+    }
+
+    fn serve(&self, stream: TcpStream, version: u32) -> io::Result<()> {
+        stream.set_nodelay(true)?;
+        let mut writer = stream.try_clone()?;
+        let mut reader = BufReader::new(stream);
+        loop {
+            let head = read_head(&mut reader)?;
+            let _ = read_body(&mut reader, &head)?;
+            let served = format!("Parsleybeam-Served-By: {}\r\n", self.id);
+            if head.header("parsleybeam-expect-instance").is_some_and(|id| id != self.id) {
+                answer(&mut writer, "421 Misdirected Request", &served, b"")?;
+                continue;
+            }
+            let id = head.header("parsleybeam-request-id").unwrap_or_default();
+            let last = head.header("last-event-id").and_then(|last| last.parse().ok());
+            let last: u64 = last.unwrap_or(0);
+            self.record.add(format!("{} (v{version}) runs {id} from {}", self.id, last + 1));
+            let head = format!(
+                "HTTP/1.1 200 OK\r\nParsleybeam-Request-Id: {id}\r\n\
+                 Parsleybeam-Response-Signature: 3e1b.{id}.c9f2a4d1\r\n\
+                 Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
+            );
+            writer.write_all(head.as_bytes())?;
+            for number in last + 1..=STREAM_EVENTS {
+                let event = format!("id: {number}\ndata: v{version} {id} {number}\n\n");
+                let chunk = format!("{:x}\r\n{event}\r\n", event.len());
+                writer.write_all(chunk.as_bytes())?;
+                thread::sleep(STREAM_PAUSE);
+            }
+            writer.write_all(b"0\r\n\r\n")?;
+        }
+    }
+}
+
+fn unix_ms() -> u64 {
+    let since = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH);
+    since.map_or(0, |since| since.as_millis() as u64)
+}
+
+/// Reads a body to its end, or to where it breaks off; whether it is whole.
+pub fn read_to_break(reader: &mut Reader, head: &Head) -> (Vec<u8>, bool) {
+    let mut body = Vec::new();
+    let whole = chunks(reader, head, &mut body).is_ok();
+    (body, whole)
+}
+
+fn chunks(reader: &mut Reader, head: &Head, body: &mut Vec<u8>) -> io::Result<()> {
+    if !head.is_chunked() {
+        *body = read_body(reader, head)?;
+        return Ok(());
+    }
+    loop {
+        let mut line = String::new();
+        reader.read_line(&mut line)?;
+        let size = usize::from_str_radix(line.trim(), 16).map_err(io::Error::other)?;
+        let mut chunk = vec![0; size + 2];
+        reader.read_exact(&mut chunk)?;
+        if size == 0 {
+            return Ok(());
+        }
+        body.extend_from_slice(&chunk[..size]);
+    }
+}
+
 /// An entry VM: the project's own program in a process of its own.
 pub struct Vm {
     pub name: String,
@@ -861,8 +1003,8 @@
     format!("Parsleybeam-Request-Id: {id}\r\nAuthorization: Bearer {KEY}\r\n")
 }
 
-/// Manifest with an idempotent route, one whose requests may run once, and a batch route, of one
-/// service, and one tenant.
+/// Manifest with an idempotent route, one whose requests may run once, one of streams that may be
+/// resumed, and a batch route, of one service, and one tenant.
 pub fn manifest(version: u64, cap: u64) -> String {
     format!(
         "{{\"version\":{version},\"routes\":[\
@@ -872,6 +1014,10 @@
          {{\"name\":\"r-once\",\"host\":\"{HOST}\",\"path_prefix\":\"/once/\",\
          \"kind\":\"non_idempotent\",\"timeout_ms\":5000,\"latency_target_ms\":300,\"priority\":0,\
          \"service\":\"huvo11a\",\"max_attempts\":1,\"anonymous\":false}},\
+         {{\"name\":\"r-stream\",\"host\":\"{HOST}\",\"path_prefix\":\"/stream/\",\
+         \"kind\":\"streaming\",\"timeout_ms\":5000,\"latency_target_ms\":300,\"priority\":0,\
+         \"service\":\"huvo11a\",\"max_attempts\":2,\"anonymous\":false,\"resumable\":true,\
+         \"gap_target_ms\":250}},\
          {{\"name\":\"r-batch\",\"host\":\"{HOST}\",\"path_prefix\":\"/batch/\",\
          \"kind\":\"batch\",\"timeout_ms\":15000,\"latency_target_ms\":500,\"priority\":2,\
          \"service\":\"huvo11a\",\"max_attempts\":3,\"anonymous\":false,\
