--- a/review/15/run.sh
+++ b/review/15/run.sh
@@ -6,4 +6,4 @@
     echo "target/review-3/cases-3 is missing: run review/build-3.sh"
     exit 2
 fi
-exec target/review-3/cases-3 cap review/15
+exec target/review-3/cases-3 large-job review/15
