--- a/review/cases-3.rs
+++ b/review/cases-3.rs
@@ -113,6 +113,15 @@
     }
 }
 
+impl Drop for Guard {
+    fn drop(&mut self) {
+        self.stop.store(true, Ordering::Relaxed);
+        if let Some(thread) = self.thread.take() {
+            let _ = thread.join();
+        }
+    }
+}
+
 /// Online requests on kept connections of the first entry VM, one at a time each. The first
 /// request of a connection doesn't count.
 struct Online {
@@ -282,11 +291,7 @@
          answered as not run",
         runs.len()
     ));
-    Ok((twice + refused > 0).then(|| {
-        format!(
-            "TWICE: {twice} requests ran more than once (REFUSED: {refused} ran and were refused)"
-        )
-    }))
+    Ok((twice > 0).then(|| format!("TWICE: {twice} requests that may run once ran more than once")))
 }
 
 /// Replicas that crash, are back under their ids with another version of their software, and
@@ -427,7 +432,8 @@
             thread::sleep(Duration::from_millis(500 * reader as u64 / READERS as u64));
             while Instant::now() < ends {
                 let began = Instant::now();
-                let headers = caller_headers(&format!("0b{reader:06x}"));
+                let headers =
+                    caller_headers(&format!("0b{reader:06x}")) + "Parsleybeam-Poll-Wait: 1000\r\n";
                 let read = || -> io::Result<usize> {
                     let mut client = Client::connect(address, PATIENCE)?;
                     client.send("GET", &target, &headers, b"")?;
--- a/review/fleet-3.rs
+++ b/review/fleet-3.rs
@@ -684,9 +684,14 @@
                     continue;
                 };
                 let _ = stream.set_nonblocking(false);
-                if let Ok(kept) = stream.try_clone() {
-                    replica.state.lock().unwrap().connections.push(kept);
+                let Ok(kept) = stream.try_clone() else { continue };
+                let mut state = replica.state.lock().unwrap();
+                // The process may have ended since the connection was accepted.
+                if !state.is_up || state.number != number {
+                    break;
                 }
+                state.connections.push(kept);
+                drop(state);
                 let replica = replica.clone();
                 let builder = thread::Builder::new().stack_size(256 << 10);
                 let _ = builder.spawn(move || replica.serve(stream, version));
