--- a/src/serve/frontend.rs
+++ b/src/serve/frontend.rs
@@ -26,13 +26,13 @@
 use super::configuration::{Kind as RouteKind, Route};
 use super::context::Context;
 use super::exchange::{self, Body, Reply};
+use super::incoming;
 use super::jobs::Jobs;
 use super::peers::Peers;
 use super::protocol::{Head, Request};
 use super::record::Record;
 use super::stop::Stop;
 use super::unwritten;
-use crate::api::caller::read;
 use crate::error::{Error, Kind, Result, Run};
 
 /// Idle timeout of connections.
@@ -110,7 +110,9 @@
     ) -> Result<Request> {
         let limit = self.context.configuration().map_or(0, |current| current.max_body_bytes);
         let limit = if limit == 0 { MAX_BODY_BYTES } else { limit };
-        let body = read(payload, limit).await?;
+        let length = headers.get(http::header::CONTENT_LENGTH);
+        let length = length.and_then(|value| value.to_str().ok()?.trim().parse().ok());
+        let body = incoming::read(&self.context, payload, length, limit).await?;
         let method = Method::from_bytes(request.method().as_str().as_bytes())
             .map_err(|error| Error::new(Kind::Malformed, error.to_string()))?;
         let path = request.uri().path().to_owned();
--- a/src/serve/gauge.rs
+++ b/src/serve/gauge.rs
@@ -3,6 +3,7 @@
 use metrics::gauge;
 
 use super::context::Context;
+use super::held::Kind;
 use super::jobs::Jobs;
 
 /// Sets all gauges to the current values.
@@ -17,7 +18,10 @@
     drop(view);
     gauge!("serve_parts_held_off").set(context.crashes.borrow().parts.held().count() as f64);
     gauge!("serve_cut_off").set(f64::from(u8::from(context.paths.is_cut())));
-    gauge!("serve_held_bytes").set(context.held.bytes() as f64);
+    for kind in Kind::ALL {
+        gauge!("serve_held_bytes", "of" => kind.as_str()).set(context.held.sum(kind) as f64);
+    }
+    gauge!("serve_copied_bytes").set(context.held.copied() as f64);
     let (mut usable, mut ejected, mut limited, mut online, mut batch) = (0, 0, 0, 0, 0);
     for (_, entry) in context.table.borrow().iter() {
         let counted = if entry.usable(now) { &mut usable } else { &mut ejected };
--- a/src/serve/mod.rs
+++ b/src/serve/mod.rs
@@ -25,7 +25,7 @@
 //! | what VMs tell each other unasked | `repeat` | `report` |
 //! | membership and ownership | `member` | `poller` |
 //! | bounds of answers | `transport::bound` | `reading`, `transport` |
-//! | memory held for slow readers | `held` | `relay`, `unread`, `frontend` |
+//! | memory held for others | `held`, `jobs::Pages` | `relay`, `unread`, `incoming`, `frontend`, `jobs` |
 //! | access to the store | `source`, `channel` | `channel`, `reader` |
 
 mod active;
@@ -50,6 +50,7 @@
 pub mod held;
 mod hint;
 mod identity;
+mod incoming;
 pub mod internal;
 pub mod jobs;
 pub mod limit;
--- a/src/serve/reading.rs
+++ b/src/serve/reading.rs
@@ -12,7 +12,7 @@
 use super::context::Context;
 use super::event;
 use super::exchange::{Admitted, History};
-use super::held::{Charged, MAX_ANSWER_BYTES, SMALL_BYTES};
+use super::held::{Charged, Kind, MAX_ANSWER_BYTES, SMALL_BYTES};
 use super::slot::Slot;
 use super::unread::SLOW_AFTER;
 use crate::clock::Time;
@@ -155,7 +155,7 @@
     body: &mut Body,
     deadline: Time,
 ) -> Result<Bytes, Cut> {
-    let mut charge = context.held.charge();
+    let mut charge = context.held.charge(Kind::Answer);
     let mut collected = BytesMut::new();
     let (mut turn, mut waited) = (None, Duration::ZERO);
     loop {
--- a/src/serve/relay.rs
+++ b/src/serve/relay.rs
@@ -21,7 +21,7 @@
 use super::crash;
 use super::event::{self, Decoder};
 use super::exchange::{self, Admitted, History, Incomplete, Sent};
-use super::held::{Charge, SMALL_BYTES, Turn};
+use super::held::{Charge, Kind, SMALL_BYTES, Turn};
 use super::reading;
 use super::record::Record;
 use super::slot::Slot;
@@ -76,7 +76,7 @@
             slot: sent.slot,
             ready: Bytes::new(),
             handed_over: 0,
-            charge: context.held.charge(),
+            charge: context.held.charge(Kind::Answer),
             turn: None,
             pause: Pause::default(),
             record: record.take(),
--- a/standins/src/platform/caller.rs
+++ b/standins/src/platform/caller.rs
@@ -74,8 +74,13 @@
         Ok(Self { reader: BufReader::new(stream) })
     }
 
-    /// Sends a request and reads the response. If the connection fails, the error comes with the
-    /// part of the response that was received.
+    /// Sends the first part of a request.
+    pub fn write(&mut self, bytes: &[u8]) -> io::Result<()> {
+        self.reader.get_mut().write_all(bytes)
+    }
+
+    /// Sends a request, or the rest of it, and reads the response. If the connection fails, the
+    /// error comes with the part of the response that was received.
     pub fn exchange(&mut self, bytes: &[u8]) -> (Response, io::Result<()>) {
         let mut response = Response::default();
         let outcome = self.try_exchange(bytes, &mut response);
