--- a/src/serve/exchange.rs
+++ b/src/serve/exchange.rs
@@ -335,6 +335,7 @@
         record.through.extend(answer.through.map(|peer| peer.to_string()));
         let request_id = admitted.head.request_id.as_deref().unwrap_or_default();
         let classification = context.protocol.classify(answer.status, &answer.headers, request_id);
+        let classification = classification.over(answer.reused);
         slot.record_answer(&classification, request_id);
         if classification.refused {
             record.reason = format!("refused with {}", answer.status.as_u16());
@@ -356,7 +357,7 @@
         if !classification.matches_request || !is_final {
             context.pool.close_idle(slot.address);
             let reason = match is_final {
-                true => "the answer belongs to another request".to_owned(),
+                true => "the answer doesn't name this request".to_owned(),
                 false => format!("{} is no final status", answer.status.as_u16()),
             };
             record_failed_run(context, admitted, history, upstream, reason, record)?;
--- a/src/serve/jobs/run.rs
+++ b/src/serve/jobs/run.rs
@@ -182,6 +182,7 @@
             Err(failure) => return self.report_failure(&failure).await,
         };
         let verdict = self.context.protocol.classify(answer.status, &answer.headers, &self.item.id);
+        let verdict = verdict.over(answer.reused);
         self.slot.record_answer(&verdict, &self.item.id);
         if verdict.refused {
             return End::Broken;
--- a/src/serve/protocol.rs
+++ b/src/serve/protocol.rs
@@ -154,6 +154,17 @@
             event_stream: false,
         }
     }
+
+    /// What the response says if it came over a connection that had carried another one, `reused`.
+    /// There a faulty upstream may have written it before this request: as a refusal it counts
+    /// only if it names the request.
+    pub fn over(self, reused: bool) -> Self {
+        let is_unproven = reused && self.refused && !self.matches_request;
+        if is_unproven {
+            metrics::counter!("serve_refusals_unproven_total").increment(1);
+        }
+        Self { refused: self.refused && !is_unproven, ..self }
+    }
 }
 
 /// Encoder and decoder of requests, responses and their headers.
--- a/src/transport/connection.rs
+++ b/src/transport/connection.rs
@@ -26,6 +26,8 @@
     pub through: Option<SocketAddr>,
     /// When it was open: the process at its other end had begun to listen by then.
     pub opened_at: Time,
+    /// Whether it has carried an answer before.
+    pub reused: bool,
     /// Bounds of the answer that it carries.
     pub bound: Shared,
     task: JoinHandle<()>,
@@ -52,7 +54,7 @@
         let task = actix_rt::spawn(async move {
             let _ = driver.await;
         });
-        Ok(Self { sender, task, bound, opened_at, through: opened.through })
+        Ok(Self { sender, task, bound, opened_at, through: opened.through, reused: false })
     }
 }
 
--- a/src/transport/pool.rs
+++ b/src/transport/pool.rs
@@ -82,6 +82,8 @@
     pub body: Body,
     /// The VM that its connection goes through; none if that is direct.
     pub through: Option<SocketAddr>,
+    /// Whether its connection had carried an answer before.
+    pub reused: bool,
     /// Whether the body is delimited by its framing rather than by the end of the connection.
     pub framed: bool,
 }
@@ -258,7 +260,7 @@
             || head.headers.contains_key(TRANSFER_ENCODING)
             || matches!(head.status, StatusCode::NO_CONTENT | StatusCode::NOT_MODIFIED);
         let reuse_until = if framed { self.reuse_until(&head.headers) } else { None };
-        let through = connection.through;
+        let (through, reused) = (connection.through, connection.reused);
         connection.bound.borrow_mut().begin_body(Terms::bytes(MAX_WIRE_BYTES), self.clock.now());
         let body = Body {
             incoming,
@@ -267,7 +269,7 @@
             reuse_until,
             pool: self.clone(),
         };
-        Response { status: head.status, headers: head.headers, body, through, framed }
+        Response { status: head.status, headers: head.headers, body, through, framed, reused }
     }
 
     fn reuse_until(&self, headers: &HeaderMap) -> Option<Time> {
@@ -375,9 +377,10 @@
     }
 
     fn return_to_pool(&mut self) {
-        let Some(connection) = self.connection.take() else { return };
+        let Some(mut connection) = self.connection.take() else { return };
         connection.bound.borrow_mut().end();
         if let Some(until) = self.reuse_until {
+            connection.reused = true;
             self.pool.put(self.address, connection, until);
         }
     }
--- a/standins/src/platform/replica.rs
+++ b/standins/src/platform/replica.rs
@@ -29,6 +29,8 @@
     WrongRequestId,
     /// Sends a refusal of another request with this status, and then all events.
     EarlierRefusal(u16),
+    /// Sends a refusal that names no request, and then all events.
+    NamelessRefusal(u16),
     /// Sends a second response after the complete one.
     ExtraResponse,
     /// Responds 503 and states that the request wasn't executed.
@@ -328,6 +330,13 @@
         );
         out.write_all(earlier.as_bytes())?;
     }
+    if let Behaviour::NamelessRefusal(status) = behaviour {
+        let earlier = format!(
+            "HTTP/1.1 {status} X\r\n{words}parsleybeam-not-executed: 1\r\n\
+             content-length: 0\r\n\r\n"
+        );
+        out.write_all(earlier.as_bytes())?;
+    }
     if let Behaviour::Unframed(events) = behaviour {
         write_unframed(out, request, events, pause)?;
         return Ok(false);
