--- a/src/serve/identity.rs
+++ b/src/serve/identity.rs
@@ -11,17 +11,21 @@
 //! connection was open that is younger. That it answers again shows nothing, as the next process
 //! does so too.
 //!
+//! A stream that begins over a connection that is younger than the view may begin at another
+//! process than the view's. Its origin counts once the view is younger, or, if it breaks off
+//! before that, by a read of the entry.
+//!
 //! Load: streams that go on without an older connection to their upstream, one read of the store
 //! each, and none while it is away. Items go on far more often, and by `Slot::may_be_another`.
 
-use std::time::Duration;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use super::context::Context;
 use super::origin::Origin;
 use super::reading::CONNECT_TIMEOUT;
 use super::slot::Slot;
 use crate::clock::Time;
-use crate::transport::Failure;
+use crate::transport::{Failure, Response};
 
 /// Timeout of the read of an entry: the store answers in milliseconds, or in a quarter of a
 /// second when it is slow.
@@ -80,11 +84,41 @@
     }
 }
 
-/// The process that is believed to be there while the store can't be asked.
-fn believed(context: &Context, slot: &Slot) -> Identity {
+/// Whether the connection of an answer was open when the view was read, so that the view's entry
+/// is that of the process that answers.
+pub(super) fn is_by_view(context: &Context, answer: &Response) -> bool {
+    answer.opened_at <= context.view.borrow().confirmed_at
+}
+
+/// Whether another process may have taken the place of that of a slot.
+pub(super) fn is_doubted(context: &Context, slot: &Slot) -> bool {
     let table = context.table.borrow();
-    let is_doubted = table.get(slot.key).is_none_or(|entry| {
+    table.get(slot.key).is_none_or(|entry| {
         entry.failures > 0 || entry.peer_failures > 0 || entry.doubted_at.is_some()
-    });
-    if is_doubted { Identity::Other } else { Identity::Confirmed(Time::NEVER) }
+    })
+}
+
+/// The origin of an answer that has broken off, and whose connection is younger than the view, by
+/// its upstream's entry: that of its slot's process, or of one that began before the connection.
+/// None if neither is registered now, or the store doesn't answer and `was_doubted`.
+pub(super) async fn origin_of_broken(
+    context: &Context,
+    slot: &Slot,
+    opened_at: Time,
+    was_doubted: bool,
+) -> Option<Origin> {
+    let read = context.store.registration(&slot.upstream);
+    let Ok(Ok(entry)) = tokio::time::timeout(READ_TIMEOUT, read).await else {
+        return (!was_doubted).then(|| slot.origin.clone());
+    };
+    let entry = entry?;
+    let open_for = opened_at.until(context.now());
+    let opened_unix = SystemTime::now().duration_since(UNIX_EPOCH).ok()?.checked_sub(open_for)?;
+    let began_before = u128::from(entry.started_unix_ms) <= opened_unix.as_millis();
+    (entry.process() == slot.process() || began_before).then(|| Origin::of(&entry))
+}
+
+/// The process that is believed to be there while the store can't be asked.
+fn believed(context: &Context, slot: &Slot) -> Identity {
+    if is_doubted(context, slot) { Identity::Other } else { Identity::Confirmed(Time::NEVER) }
 }
--- a/src/serve/origin.rs
+++ b/src/serve/origin.rs
@@ -123,9 +123,12 @@
 
 impl Origins {
     /// Records the origin of a stream at this VM, to be sent to others; `deadline`
-    /// is that of the attempt that the stream is sent to.
+    /// is that of the attempt that the stream is sent to. It replaces what was assumed before.
     pub fn record(&mut self, stream: Stream, origin: &Origin, deadline: Time, now: Time) {
         self.insert(stream, origin.clone(), deadline.after(RETENTION), now);
+        if let Some(row) = self.rows.get_mut(&stream) {
+            row.origin = origin.clone();
+        }
         self.unsent.push(stream);
     }
 
--- a/src/serve/relay.rs
+++ b/src/serve/relay.rs
@@ -22,6 +22,8 @@
 use super::event::{self, Decoder};
 use super::exchange::{self, Admitted, History, Incomplete, Sent};
 use super::held::{Charge, Kind, SMALL_BYTES, Turn};
+use super::identity;
+use super::origin::Origin;
 use super::reading;
 use super::record::Record;
 use super::slot::Slot;
@@ -55,9 +57,21 @@
     pause: Pause,
     record: Record,
     first_event: Option<Time>,
+    start: Start,
     finished: bool,
 }
 
+/// What is known of the process that began the stream.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Start {
+    /// It is that of the slot.
+    Known,
+    /// It is taken for that of the slot.
+    Assumed,
+    /// It may be another one; nobody is told of the origin yet.
+    Doubted,
+}
+
 impl Relay {
     /// Starts to relay an upstream's response. Dropping the stream cancels it.
     pub(super) fn stream(
@@ -81,6 +95,7 @@
             pause: Pause::default(),
             record: record.take(),
             first_event: None,
+            start: Start::Known,
             finished: false,
         };
         relay.bound_answer();
@@ -268,12 +283,35 @@
             let first_ms = self.admitted.started_at.until(now).as_secs_f64() * 1e3;
             self.first_event = Some(now);
             self.record.first_event_ms = Some(first_ms as u64);
+            // Only streams that go on have a version by now, and their process is known.
+            let is_known = self.admitted.version.is_some()
+                || identity::is_by_view(&self.context, &self.answer);
+            self.start = match is_known {
+                true => Start::Known,
+                false if identity::is_doubted(&self.context, &self.slot) => Start::Doubted,
+                false => Start::Assumed,
+            };
             self.slot.record_first_event();
-            self.record_origin(now);
+            if self.start != Start::Doubted {
+                self.record_origin(now);
+            }
             metrics::histogram!("serve_first_event_seconds").record(first_ms / 1e3);
+        } else if self.start != Start::Known && identity::is_by_view(&self.context, &self.answer) {
+            self.confirm_start();
         }
     }
 
+    /// Takes the origin from a view that is younger than the connection.
+    fn confirm_start(&mut self) {
+        let table = self.context.table.borrow();
+        let entry = table.get(self.slot.key).map(|entry| &entry.registration);
+        let Some(origin) = entry.map(Origin::of) else { return };
+        drop(table);
+        self.slot.origin = origin;
+        self.start = Start::Known;
+        self.record_origin(self.context.now());
+    }
+
     /// Binds the stream to the service and version that sent its first event.
     fn record_origin(&mut self, now: Time) {
         let Some(stream) = self.admitted.stream() else { return };
@@ -294,6 +332,10 @@
         self.history.tried.push(self.slot.upstream.clone());
         // Close the broken response first: two upstreams must not run the same request.
         self.answer.body.close();
+        if !self.find_start().await {
+            self.record.reason = format!("{reason}; which version began the stream isn't known");
+            return false;
+        }
         loop {
             let deadline_passed = self.admitted.deadline.passed(self.context.now());
             if deadline_passed || !self.history.may_send(&self.admitted.route) {
@@ -322,6 +364,22 @@
         }
     }
 
+    /// Finds out which process began a stream that has broken off; false if that isn't known.
+    async fn find_start(&mut self) -> bool {
+        if self.first_event.is_none() || self.start == Start::Known {
+            return true;
+        }
+        let was_doubted = self.start == Start::Doubted;
+        let opened_at = self.answer.opened_at;
+        let found =
+            identity::origin_of_broken(&self.context, &self.slot, opened_at, was_doubted).await;
+        let Some(origin) = found else { return false };
+        self.slot.origin = origin;
+        self.start = Start::Known;
+        self.record_origin(self.context.now());
+        true
+    }
+
     /// Whether the end of the answer is that of the stream.
     async fn is_whole(&self) -> bool {
         self.answer.framed || crash::outlives_answer(&self.context, &self.slot).await
--- a/src/transport/pool.rs
+++ b/src/transport/pool.rs
@@ -82,6 +82,8 @@
     pub body: Body,
     /// The VM that its connection goes through; none if that is direct.
     pub through: Option<SocketAddr>,
+    /// When its connection was open.
+    pub opened_at: Time,
     /// Whether its connection had carried an answer before.
     pub reused: bool,
     /// Whether the body is delimited by its framing rather than by the end of the connection.
@@ -261,6 +263,7 @@
             || matches!(head.status, StatusCode::NO_CONTENT | StatusCode::NOT_MODIFIED);
         let reuse_until = if framed { self.reuse_until(&head.headers) } else { None };
         let (through, reused) = (connection.through, connection.reused);
+        let opened_at = connection.opened_at;
         connection.bound.borrow_mut().begin_body(Terms::bytes(MAX_WIRE_BYTES), self.clock.now());
         let body = Body {
             incoming,
@@ -269,7 +272,15 @@
             reuse_until,
             pool: self.clone(),
         };
-        Response { status: head.status, headers: head.headers, body, through, framed, reused }
+        Response {
+            status: head.status,
+            headers: head.headers,
+            body,
+            through,
+            framed,
+            reused,
+            opened_at,
+        }
     }
 
     fn reuse_until(&self, headers: &HeaderMap) -> Option<Time> {
