A read further on hides no results of a job

Cause: what was read of a job was kept as "fresh" whatever the position of the read: one from position 1 that found nothing, or a page that left results out, answered reads from other positions for 300 ms. A read that joined an earlier one could also miss what others had seen since.

Change: a VM keeps the position from which on nothing was stored when it was read; the owner says how many results are stored (field `stored`); a joined read that found nothing is made again if it began before the request.

--- a/src/serve/jobs/cache.rs
+++ b/src/serve/jobs/cache.rs
@@ -73,7 +73,9 @@
 #[derive(Clone, Default)]
 struct Known {
     summary: Summary,
-    /// Time at which the latest read of the job's end was sent.
+    /// Position from which on no result was stored when it was last read.
+    end: usize,
+    /// Time at which that read was sent.
     read: Time,
 }
 
@@ -83,6 +85,8 @@
     organisation: String,
     total: usize,
     results: Vec<Rc<Loaded>>,
+    /// Position from which on no result was stored; none if there may be further ones.
+    end: Option<usize>,
 }
 
 /// Identifies a result.
@@ -91,8 +95,12 @@
 type Outcome = Result<Option<Fetched>>;
 /// A read of results that several callers wait for.
 type Fetching = Shared<LocalBoxFuture<'static, Outcome>>;
-/// The same, given up once no caller waits for it any more.
-type Running = WeakShared<LocalBoxFuture<'static, Outcome>>;
+
+/// A read that is under way, given up once no caller waits for it any more.
+struct Running {
+    began: Time,
+    read: WeakShared<LocalBoxFuture<'static, Outcome>>,
+}
 
 /// Cache of jobs, by identifier.
 pub struct Cache {
@@ -153,13 +161,13 @@
         let requested = self.context.now();
         let mut loaded = self.loaded(job, after, MAX_PAGE_BYTES);
         let known = match owned {
-            Some(summary) => Some((summary, true)),
+            Some(summary) => Some((summary.stored, summary)),
             None => self.fresh(job, requested),
         };
-        if let Some((summary, is_fresh)) = &known {
+        if let Some((known_end, summary)) = &known {
             let end = after + loaded.len();
             // A result in the middle may have been evicted; a shorter page is as good.
-            let is_end_known = *is_fresh && end >= summary.stored;
+            let is_end_known = end >= *known_end && end >= summary.stored;
             if is_end_known || (!loaded.is_empty() && end < summary.stored) {
                 return self.pin(summary.total, after, &loaded).map(Some);
             }
@@ -169,7 +177,7 @@
             Ok(fetched) => fetched,
             // What was read before stays true.
             Err(_) if !loaded.is_empty() => {
-                let total = known.map_or(0, |(summary, _)| summary.total);
+                let total = known.map_or(0, |(_, summary)| summary.total);
                 return self.pin(total, after, &loaded).map(Some);
             }
             Err(error) => return Err(error),
@@ -177,7 +185,7 @@
         let Some(fetched) = fetched else { return Ok(None) };
         loaded.extend(fetched.results);
         let stored = self.known.borrow().peek(job).map_or(0, |known| known.summary.stored);
-        let stored = known.map_or(0, |(summary, _)| summary.stored).max(stored);
+        let stored = known.map_or(0, |(_, summary)| summary.stored).max(stored);
         if loaded.is_empty() && after < stored {
             let detail = format!("the result at position {after} of job {job} can't be read now");
             return Err(Error::new(Kind::PlatformUnavailable, detail));
@@ -185,12 +193,17 @@
         self.pin(fetched.total, after, &loaded).map(Some)
     }
 
-    /// What is known of a job, and whether it is fresh enough to be served without a read.
-    fn fresh(&self, job: &str, now: Time) -> Option<(Summary, bool)> {
+    /// The position from which on no result is stored, as far as it is known without another
+    /// read, and what is known of a job.
+    fn fresh(&self, job: &str, now: Time) -> Option<(usize, Summary)> {
         let mut known = self.known.borrow_mut();
-        let Known { summary, read } = known.get(job)?;
-        let is_fresh = summary.is_complete() || !read.after(READ_LIFETIME).passed(now);
-        Some((summary.clone(), is_fresh))
+        let Known { summary, end, read } = known.get(job)?;
+        let end = match summary.is_complete() {
+            true => summary.total,
+            false if read.after(READ_LIFETIME).passed(now) => usize::MAX,
+            false => *end,
+        };
+        Some((end, summary.clone()))
     }
 
     /// Results in memory from a position on, without a gap, as far as they fit into `bytes`;
@@ -237,20 +250,29 @@
     /// Reads results from a position on; reads that begin meanwhile are the same one.
     async fn fetch(&self, job: &str, from: usize) -> Result<Option<Fetched>> {
         let requested = self.context.now();
-        let outcome = self.fetching(job, from).await;
-        if let Ok(Some(fetched)) = &outcome {
-            self.record(job, from, fetched, requested);
+        loop {
+            let (began, read) = self.fetching(job, from);
+            let outcome = read.await;
+            let Ok(Some(fetched)) = &outcome else { return outcome };
+            self.record(job, from, fetched, began);
+            // An earlier read may have missed what others have seen since.
+            if !fetched.results.is_empty() || began >= requested {
+                return outcome;
+            }
         }
-        outcome
     }
 
-    /// The read of results from a position on that is under way, or a new one.
-    fn fetching(&self, job: &str, from: usize) -> Fetching {
+    /// The read of results from a position on that is under way, or a new one; when it began.
+    fn fetching(&self, job: &str, from: usize) -> (Time, Fetching) {
         let key = (job.to_owned(), from);
         let mut running = self.running.borrow_mut();
-        running.retain(|_, fetching| fetching.upgrade().is_some_and(|read| read.peek().is_none()));
-        if let Some(fetching) = running.get(&key).and_then(WeakShared::upgrade) {
-            return fetching;
+        running.retain(|_, Running { read, .. }| {
+            read.upgrade().is_some_and(|read| read.peek().is_none())
+        });
+        if let Some(Running { began, read }) = running.get(&key)
+            && let Some(read) = read.upgrade()
+        {
+            return (*began, read);
         }
         let read = Read {
             context: self.context.clone(),
@@ -259,22 +281,26 @@
             job: job.to_owned(),
             from,
         };
-        let fetching = read.run().boxed_local().shared();
-        running.extend(fetching.downgrade().map(|weak| (key, weak)));
-        fetching
+        let (began, fetching) = (self.context.now(), read.run().boxed_local().shared());
+        running.extend(fetching.downgrade().map(|read| (key, Running { began, read })));
+        (began, fetching)
     }
 
-    /// Keeps what a read that was sent at `requested` has found.
-    fn record(&self, job: &str, from: usize, fetched: &Fetched, requested: Time) {
+    /// Keeps what a read that was sent at `began` has found.
+    fn record(&self, job: &str, from: usize, fetched: &Fetched, began: Time) {
         let mut known = self.known.borrow_mut();
         let entry = known.get_or_insert_mut(job.to_owned(), Known::default);
         entry.summary.organisation = fetched.organisation.clone();
         entry.summary.total = fetched.total;
         if !fetched.results.is_empty() {
+            // What follows these wasn't there before, or wasn't read.
             let end = from + fetched.results.len();
             entry.summary.stored = entry.summary.stored.max(end);
+            entry.read = Time(0);
+        }
+        if let Some(end) = fetched.end {
+            (entry.end, entry.read) = (end, began);
         }
-        entry.read = entry.read.max(requested);
         drop(known);
         self.insert(job, from, &fetched.results);
     }
@@ -300,7 +326,7 @@
 
     /// Keeps the summary of a job that this VM has owned until its end.
     pub fn insert_complete(&self, job: &str, summary: Summary) {
-        self.known.borrow_mut().put(job.to_owned(), Known { summary, read: Time(0) });
+        self.known.borrow_mut().put(job.to_owned(), Known { summary, ..Known::default() });
     }
 
     /// Evicts the least recently used results until the rest fits, but for those that pages
@@ -456,11 +482,11 @@
             return Ok(Some(fetched));
         }
         let _turn = turn(&self.context, STORE_PAGE_BYTES).await?;
-        let (summary, results) = match (&self.known, self.from) {
+        let (summary, (results, is_last)) = match (&self.known, self.from) {
             // The head is read with the first results.
             (_, 0) => {
-                let (head, results) = self.list("").await?;
-                (head.map(summary).or_else(|| self.known.clone()), results)
+                let (head, found) = self.list("").await?;
+                (head.map(summary).or_else(|| self.known.clone()), found)
             }
             (Some(known), from) => {
                 (Some(known.clone()), self.list(&result_key(&self.job, from - 1)).await?.1)
@@ -474,8 +500,8 @@
             }
         };
         Ok(summary.map(|Summary { organisation, total, .. }| {
-            let results = self.load(results);
-            Fetched { organisation, total, results }
+            let end = is_last.then_some(self.from + results.len());
+            Fetched { organisation, total, results: self.load(results), end }
         }))
     }
 
@@ -484,11 +510,12 @@
         let context = &self.context;
         let _turn = turn(context, PEER_PAGE_BYTES).await?;
         let answer = reader::fetch_results(context, owner, &self.job, self.from, MAX_PAGE_BYTES);
-        let Some(reader::Results { total, results, organisation }) = answer.await else {
+        let Some(reader::Results { total, results, organisation, stored }) = answer.await else {
             return Ok(None);
         };
-        let (total, results) = (total as usize, self.load(results));
-        Ok(Some(Fetched { organisation, total, results }))
+        // A VM of an older version sends all results and doesn't say how many there are.
+        let end = Some((self.from + results.len()).max(stored as usize));
+        Ok(Some(Fetched { organisation, total: total as usize, results: self.load(results), end }))
     }
 
     fn load(&self, results: Vec<ItemResult>) -> Vec<Rc<Loaded>> {
@@ -496,9 +523,9 @@
         results.into_iter().map(|result| Loaded::new(Rc::new(result), held)).collect()
     }
 
-    /// Reads the page of the store with the job's first result after a key, and its head if that
-    /// comes after the key, too.
-    async fn list(&self, after: &str) -> Result<(Option<Head>, Vec<ItemResult>)> {
+    /// Reads the page of the store with the job's first result after a key, whether it is the last
+    /// one, and the job's head if that comes after the key, too.
+    async fn list(&self, after: &str) -> Result<(Option<Head>, (Vec<ItemResult>, bool))> {
         let (mut head, mut after) = (None, after.to_owned());
         loop {
             let page = self.context.store.list(&listing_prefix(&self.job), &after).await?;
@@ -506,7 +533,7 @@
             head = head.or(found);
             match page.entries.last() {
                 Some(last) if page.more && results.is_empty() => after = last.key.clone(),
-                _ => return Ok((head, results)),
+                _ => return Ok((head, (results, !page.more))),
             }
         }
     }
--- a/src/serve/reader.rs
+++ b/src/serve/reader.rs
@@ -105,6 +105,9 @@
     /// Name of the organisation that submitted the job.
     #[prost(string, tag = "3")]
     pub organisation: String,
+    /// Number of results that are stored; zero if the VM doesn't say so.
+    #[prost(uint64, tag = "4")]
+    pub stored: u64,
 }
 
 /// Reader of the shared entries, from the store or from other VMs.
@@ -394,7 +397,8 @@
     }
     let bytes: usize = loaded.iter().map(|loaded| loaded.bytes()).sum();
     let turn = context.held.try_copies(bytes * PAGE_COPIES)?;
-    let head = Results { total: total as u64, results: Vec::new(), organisation };
+    let (total, stored) = (total as u64, stored as u64);
+    let head = Results { total, stored, organisation, results: Vec::new() };
     let mut encoded = Vec::with_capacity(bytes);
     // Concatenated encoded messages decode as one merged message. A vector takes all of it.
     head.encode(&mut encoded).ok()?;
