Whole answers without framing are kept when in doubt

Callers saw, without any trouble: streams without a length or chunks broken off, run again, or answered 503.

Cause: the probe after such an answer put its connection into the pool and asked 10 ms later whether an idle one was left; a request that had taken it made a whole answer a failure of its upstream. A slow connect did, too.

Change: the probe holds its own connection, and only a refused one means that the upstream is gone.

--- a/src/serve/crash/mod.rs
+++ b/src/serve/crash/mod.rs
@@ -40,6 +40,7 @@
 use crate::event::Event;
 use crate::id::{Organisation, Upstream};
 use crate::route::Fingerprint;
+use crate::transport::Probe;
 
 /// Connect timeout of the probe whether an upstream is still running.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(300);
@@ -274,14 +275,16 @@
 
 /// Whether an upstream lives on after an answer that ended with its connection. Without a length
 /// or chunks such an end is only a claim: a process that dies ends its connections in the same way.
+/// Only one that accepts no connection any more is gone: a doubt doesn't discard a whole answer.
 pub async fn outlives_answer(context: &Context, slot: &Slot) -> bool {
-    let opened = context.pool.open(slot.address, PROBE_TIMEOUT).await;
-    if opened.is_err() {
-        return false;
+    let probe = || context.pool.probe(slot.address, PROBE_TIMEOUT, OUTLIVES_PAUSE);
+    match probe().await {
+        Probe::Open | Probe::Silent => true,
+        Probe::Refused => false,
+        // A process that is dying may accept a connection and close it, and one that has as many
+        // as it takes does so each time.
+        Probe::Closed => probe().await != Probe::Refused,
     }
-    // A process that is dying may accept a connection and close it.
-    actix_rt::time::sleep(OUTLIVES_PAUSE).await;
-    context.pool.has_idle_opened_by(slot.address, Time::NEVER)
 }
 
 async fn accepts_connections(context: &Context, address: SocketAddr) -> bool {
--- a/src/transport/mod.rs
+++ b/src/transport/mod.rs
@@ -17,7 +17,7 @@
 
 pub(crate) use connector::configure;
 pub use connector::{Connector, Direct, Opened, Stream};
-pub use pool::{Body, Due, Pool, Response};
+pub use pool::{Body, Due, Pool, Probe, Response};
 
 /// Failure of a call, by whether the server may have received the request.
 #[derive(Clone, Debug, PartialEq, Eq, derive_more::Display)]
--- a/src/transport/pool.rs
+++ b/src/transport/pool.rs
@@ -99,6 +99,19 @@
     pool: Rc<Pool>,
 }
 
+/// What a connection that sends nothing shows of a server.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Probe {
+    /// It stayed open.
+    Open,
+    /// It was accepted and closed.
+    Closed,
+    /// It was refused.
+    Refused,
+    /// Nothing came back in time.
+    Silent,
+}
+
 impl Pool {
     /// Creates an empty pool of connections that `connector` opens.
     pub fn new(clock: Arc<dyn Clock>, connector: Rc<dyn Connector>) -> Rc<Self> {
@@ -147,6 +160,27 @@
         Ok(())
     }
 
+    /// Whether a server still accepts connections and keeps one open for `pause`. The connection
+    /// is kept idle after that.
+    pub async fn probe(&self, address: SocketAddr, timeout: Duration, pause: Duration) -> Probe {
+        let began = self.clock.now();
+        let opening = Connection::open(&*self.connector, &self.clock, address, timeout);
+        let Ok(mut connection) = opening.await else {
+            let is_late = began.after(timeout).passed(self.clock.now());
+            return if is_late { Probe::Silent } else { Probe::Refused };
+        };
+        if connection.sender.ready().await.is_err() {
+            return Probe::Closed;
+        }
+        tokio::time::sleep(pause).await;
+        if connection.sender.is_closed() {
+            return Probe::Closed;
+        }
+        let until = connection.opened_at.after(IDLE_TIMEOUT.saturating_sub(IDLE_MARGIN));
+        self.put(address, connection, until);
+        Probe::Open
+    }
+
     /// Fails if it is too late to send.
     fn check_time(&self, due: Due) -> Result<(), Failure> {
         if due.send.passed(self.clock.now()) { Err(Failure::Late) } else { Ok(()) }
