--- a/src/node/mod.rs
+++ b/src/node/mod.rs
@@ -13,4 +13,4 @@
 mod peers;
 
 pub use listener::Listener;
-pub use pages::{Readiness, install_metrics};
+pub use pages::{Readiness, install_metrics, keep_metrics};
--- a/src/node/pages.rs
+++ b/src/node/pages.rs
@@ -2,6 +2,7 @@
 
 use std::net::TcpListener;
 use std::sync::OnceLock;
+use std::time::Duration;
 
 use actix_web::dev::ServerHandle;
 use actix_web::{App, HttpResponse, HttpServer, web};
@@ -37,6 +38,9 @@
 /// Upper bounds of the histogram buckets of durations, in seconds.
 const DURATION_BUCKETS_S: [f64; 11] = [0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.3, 0.5, 1.0, 2.5, 5.0];
 
+/// Interval at which samples of histograms are summed up, also while nobody reads them.
+const UPKEEP_INTERVAL: Duration = Duration::from_millis(1_000);
+
 /// Installs the process's metrics recorder on the first call and returns its handle.
 pub fn install_metrics() -> PrometheusHandle {
     static HANDLE: OnceLock<PrometheusHandle> = OnceLock::new();
@@ -52,6 +56,16 @@
     HANDLE.get_or_init(install).clone()
 }
 
+/// Sums up the samples of histograms, which are kept one by one until then. Runs until the process
+/// exits.
+pub async fn keep_metrics() {
+    let handle = install_metrics();
+    loop {
+        actix_rt::time::sleep(UPKEEP_INTERVAL).await;
+        handle.run_upkeep();
+    }
+}
+
 /// Serves the health, readiness and metrics endpoints, and the routes that
 /// `extra_routes` adds, on the operators' listener.
 pub(super) fn serve<F>(
@@ -78,6 +92,7 @@
     .run();
     let handle = server.handle();
     actix_rt::spawn(server);
+    actix_rt::spawn(keep_metrics());
     Ok(handle)
 }
 
--- a/src/serve/internal.rs
+++ b/src/serve/internal.rs
@@ -19,7 +19,7 @@
 use super::unwritten;
 use crate::api::caller::read;
 use crate::error::Result;
-use crate::node::install_metrics;
+use crate::node::{install_metrics, keep_metrics};
 
 /// Path of the metrics page.
 const METRICS_PATH: &str = "/metrics";
@@ -40,7 +40,7 @@
 impl Server {
     /// Starts the server, which runs until the process exits.
     pub fn serve(self, socket: std::net::TcpListener) -> Result<()> {
-        install_metrics();
+        actix_rt::spawn(keep_metrics());
         listen(socket, unwritten::Count::default(), move |config| {
             let server = self.clone();
             config.default_service(web::to(move |request: HttpRequest, payload: web::Payload| {
