--- a/src/serve/origin.rs
+++ b/src/serve/origin.rs
@@ -123,15 +123,17 @@
 
 impl Origins {
     /// Records the origin of a stream at this VM, to be sent to others; `deadline`
-    /// is that of the attempt that the stream is sent to. It replaces what was assumed before.
+    /// is that of the attempt that the stream is sent to.
     pub fn record(&mut self, stream: Stream, origin: &Origin, deadline: Time, now: Time) {
         self.insert(stream, origin.clone(), deadline.after(RETENTION), now);
-        if let Some(row) = self.rows.get_mut(&stream) {
-            row.origin = origin.clone();
-        }
         self.unsent.push(stream);
     }
 
+    /// Drops the origin of a stream that was only assumed, before it is recorded.
+    pub fn forget(&mut self, stream: Stream) {
+        self.rows.remove(&stream);
+    }
+
     /// Adds records that another VM sent.
     pub fn merge(&mut self, records: &[Record], now: Time) {
         for record in records {
--- a/src/serve/relay.rs
+++ b/src/serve/relay.rs
@@ -307,8 +307,16 @@
         let entry = table.get(self.slot.key).map(|entry| &entry.registration);
         let Some(origin) = entry.map(Origin::of) else { return };
         drop(table);
+        self.settle_start(origin);
+    }
+
+    /// Binds the stream to an origin that was only assumed before.
+    fn settle_start(&mut self, origin: Origin) {
         self.slot.origin = origin;
         self.start = Start::Known;
+        if let Some(stream) = self.admitted.stream() {
+            self.context.origins.borrow_mut().forget(stream);
+        }
         self.record_origin(self.context.now());
     }
 
@@ -374,9 +382,7 @@
         let found =
             identity::origin_of_broken(&self.context, &self.slot, opened_at, was_doubted).await;
         let Some(origin) = found else { return false };
-        self.slot.origin = origin;
-        self.start = Start::Known;
-        self.record_origin(self.context.now());
+        self.settle_start(origin);
         true
     }
 
--- a/tests/serve_origin.rs
+++ b/tests/serve_origin.rs
@@ -221,3 +221,17 @@
     table.get_mut(key).expect("a").own.online = 1;
     assert_eq!(room(&table), Room::Full);
 }
+
+/// Guards against an assumed origin that stands although its stream is known to have begun
+/// elsewhere.
+#[test]
+fn record_after_forgotten_origin() {
+    let mut origins = Origins::default();
+    let stream = Stream::of("assumed");
+    let origin = |version: &str| Origin { service: "text".into(), version: version.into() };
+    origins.record(stream, &origin("v1"), Time(20_000_000), Time(10_000_000));
+    origins.forget(stream);
+    assert_eq!(origins.origin(stream, Time(10_000_000)), None);
+    origins.record(stream, &origin("v2"), Time(20_000_000), Time(10_000_000));
+    assert_eq!(origins.origin(stream, Time(10_000_000)), Some(&origin("v2")));
+}
