--- a/src/serve/jobs/mod.rs
+++ b/src/serve/jobs/mod.rs
@@ -25,6 +25,7 @@
 mod job;
 mod manager;
 mod page;
+mod read;
 mod record;
 mod results;
 mod run;
